--- /dev/null
+++ b/crates/spokeflow-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! The core of spokeflow: [`Router`] decides, [`Egress`] carries out, the rest are plain types.
+//!
+//! Everything that decides stands in `router.rs`; the other files hold types without judgement.
+
+mod chance;
+mod egress;
+mod ids;
+mod router;
+mod terms;
+
+pub use chance::Chance;
+pub use egress::{Egress, Verdict};
+pub use ids::{BuildId, CommandId, HostId, Key, Micros, OpType, ShareId, ZoneId};
+pub use router::Router;
+pub use terms::{
+    DeliveryEnd, Gate, HostLine, HostPhase, ListKind, OpTerms, Repeat, RepeatScope, ServiceTerms, StageNews,
+    Standing, VoteAnswer,
+};
--- /dev/null
+++ b/crates/spokeflow-wirehost/src/main.rs
@@ -0,0 +1,258 @@
+//! Hosts many routers on the simulator's wire: standard input to standard output.
+
+mod frame;
+mod reply;
+mod settings;
+
+use std::collections::BTreeMap;
+use std::io::{self, BufReader, Write};
+use std::process::ExitCode;
+
+use frame::{Fields, Malformed};
+use reply::Reply;
+use spokeflow_core::{
+    BuildId, CommandId, DeliveryEnd, HostId, HostLine, HostPhase, Key, ListKind, Micros, OpType, Router,
+    ShareId, StageNews, Standing, VoteAnswer, ZoneId,
+};
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("spokeflow-wirehost: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let mut input = BufReader::with_capacity(1 << 16, io::stdin().lock());
+    let mut output = io::stdout().lock();
+    let mut wire = Wire { routers: BTreeMap::new(), lists: Default::default(), reply: Reply::new() };
+    let mut body = Vec::new();
+    while let Some((count, now)) = frame::read_batch(&mut input, &mut body).map_err(|e| e.to_string())? {
+        wire.batch(&body, count, now).map_err(|e| e.to_string())?;
+        output
+            .write_all(wire.reply.frame())
+            .and_then(|()| output.flush())
+            .map_err(|e| format!("cannot write: {e}"))?;
+        wire.reply.clear();
+    }
+    Ok(())
+}
+
+struct Wire {
+    routers: BTreeMap<u32, Router>,
+    lists: [Vec<HostLine>; 16],
+    reply: Reply,
+}
+
+impl Wire {
+    fn batch(&mut self, body: &[u8], count: usize, now: Micros) -> Result<(), Malformed> {
+        let mut all = Fields::new(body, 0, 16);
+        let mut instance = None;
+        for n in 0..count {
+            let mut head = Fields::new(&body[all.byte() - 16..], n, all.byte());
+            let code = head.u8()?;
+            let len = head.u32()? as usize;
+            let start = head.byte();
+            let fields = head.bytes(len)?;
+            all.bytes(5 + len)?;
+            let mut fields = Fields::new(fields, n, start);
+            if code == 14 {
+                instance = Some(fields.u32()?);
+            } else if code == 13 {
+                self.define_list(&mut fields)?;
+            } else {
+                let Some(instance) = instance else {
+                    return Err(fields.malformed("an event before any For record"));
+                };
+                self.event(code, instance, now, &mut fields)?;
+            }
+        }
+        if !all.is_empty() {
+            return Err(Malformed {
+                record: Some(count),
+                byte: all.byte(),
+                what: format!("bytes follow the {count} records that the header counts"),
+            });
+        }
+        Ok(())
+    }
+
+    fn define_list(&mut self, f: &mut Fields) -> Result<(), Malformed> {
+        let table = f.u8()?;
+        let count = f.u32()?;
+        let mut lines = Vec::new();
+        for _ in 0..count {
+            lines.push(host_line(f)?);
+        }
+        let Some(list) = self.lists.get_mut(usize::from(table)) else {
+            return Err(f.malformed(format!("list number {table} is over 15")));
+        };
+        *list = lines;
+        Ok(())
+    }
+
+    fn event(&mut self, code: u8, instance: u32, now: Micros, f: &mut Fields) -> Result<(), Malformed> {
+        let out = &mut self.reply;
+        out.speak_for(instance);
+        if code == 0 {
+            let seed = f.u64()?;
+            let len = f.u32()? as usize;
+            let text = f.bytes(len)?;
+            let terms = settings::read(text).map_err(|what| f.malformed(what))?;
+            self.routers.insert(instance, Router::new(&terms, seed, now, out));
+            return Ok(());
+        }
+        // What arrives for a router that was killed is nobody's.
+        let Some(router) = self.routers.get_mut(&instance) else { return Ok(()) };
+        match code {
+            1 => {
+                f.u32()?;
+                let table = f.u8()?;
+                let kind = match f.u8()? {
+                    0 => ListKind::Changes,
+                    1 => ListKind::Whole,
+                    3 => ListKind::Remembered,
+                    2 => {
+                        router.list_failed(now, out);
+                        return Ok(());
+                    }
+                    other => return Err(f.malformed(format!("list mode {other} is not known"))),
+                };
+                let Some(lines) = self.lists.get(usize::from(table)) else {
+                    return Err(f.malformed(format!("list number {table} is over 15")));
+                };
+                router.listed(now, kind, lines, out);
+            }
+            2 => {
+                let cmd = CommandId(f.u32()?);
+                f.u8()?;
+                let share = ShareId(f.u32()?);
+                let op = OpType(f.u16()?);
+                f.f64()?;
+                let key = Key(f.u64()?);
+                let left = f.time()?;
+                router.command(now, cmd, op, key, share, left, out);
+            }
+            3 => {
+                let cmd = CommandId(f.u32()?);
+                f.f64()?;
+                let delivery = f.u8()?;
+                router.answer_started(now, cmd, delivery, out);
+            }
+            4 => {
+                let cmd = CommandId(f.u32()?);
+                let delivery = f.u8()?;
+                let host = HostId(f.u32()?);
+                let end = delivery_end(f)?;
+                let latency = f.time()?;
+                let finished = f.u8()? != 0;
+                f.load()?;
+                router.delivery_ended(now, cmd, delivery, host, end, latency, finished, out);
+            }
+            5 => router.client_left(now, CommandId(f.u32()?), out),
+            6 => {
+                f.u32()?;
+                router.woken(now, out);
+            }
+            7 => {
+                let host = HostId(f.u32()?);
+                let end = delivery_end(f)?;
+                f.f64()?;
+                f.load()?;
+                router.probed(now, host, end, out);
+            }
+            8 => {
+                let sender = f.u32()?;
+                let len = f.u16()?;
+                router.heard(now, sender, f.bytes(usize::from(len))?);
+            }
+            9 => {
+                self.routers.remove(&instance);
+            }
+            10 => {
+                let build = BuildId(f.u16()?);
+                let stage = f.u8()?;
+                let standing = match f.u8()? {
+                    0 => Standing::OnTrial,
+                    1 => Standing::GoingBack,
+                    2 => Standing::Released,
+                    3 => Standing::Withdrawn,
+                    other => return Err(f.malformed(format!("standing {other} is not known"))),
+                };
+                let answers_vote = f.u8()? == 1;
+                let result = f.u16()?;
+                let cap = f.f32()?;
+                let age = f.time()?;
+                if answers_vote {
+                    router.vote_answered(now, vote_answer(result), out);
+                }
+                if result == 100 {
+                    router.told(now, StageNews { build, stage, standing, cap, age }, out);
+                }
+            }
+            11 => {
+                let samples = f.u32()?;
+                let age = f.time()?;
+                let op = OpType(f.u16()?);
+                let build = BuildId(f.u16()?);
+                let mean = f.time()?;
+                let lost = f.u32()?;
+                router.summed(now, age, build, op, samples, lost, mean);
+            }
+            12 => {
+                let host = HostId(f.u32()?);
+                let since = f.time()?;
+                let op = OpType(f.u16()?);
+                router.disputed(now, host, since, op, out);
+            }
+            // Codes of a later wire are passed over by their length.
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+fn host_line(f: &mut Fields) -> Result<HostLine, Malformed> {
+    let release = f.f32()?;
+    let cell = f.u16()?;
+    let zone = ZoneId(f.u16()?);
+    f.u8()?;
+    let phase = match f.u8()? {
+        0 => HostPhase::Gone,
+        1 => HostPhase::Ready,
+        2 => HostPhase::Draining,
+        other => return Err(f.malformed(format!("host phase {other} is not known"))),
+    };
+    f.f32()?;
+    let ready_at = f.time()?;
+    let build = (0.0..65536.0).contains(&release).then_some(BuildId(release as u16));
+    let started = (ready_at != 0).then_some(ready_at);
+    Ok(HostLine { host: HostId(f.u32()?), build, cell, zone, phase, started })
+}
+
+fn delivery_end(f: &mut Fields) -> Result<DeliveryEnd, Malformed> {
+    Ok(match f.u16()? {
+        100 => DeliveryEnd::Acked,
+        301 => DeliveryEnd::Error,
+        302 => DeliveryEnd::Full,
+        303 => DeliveryEnd::TimedOut,
+        304 => DeliveryEnd::NotConnected,
+        305 => DeliveryEnd::Reset,
+        306 => DeliveryEnd::Cancelled,
+        307 => DeliveryEnd::NotSent,
+        other => return Err(f.malformed(format!("result {other} is not known"))),
+    })
+}
+
+fn vote_answer(result: u16) -> VoteAnswer {
+    match result {
+        100 => VoteAnswer::Counted,
+        307 => VoteAnswer::Moot,
+        302 => VoteAnswer::TooMany,
+        303 => VoteAnswer::Silence,
+        _ => VoteAnswer::Refused,
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-wirehost/src/reply.rs
@@ -0,0 +1,104 @@
+//! Writes the module's answers as records of the wire.
+
+use spokeflow_core::{BuildId, CommandId, Egress, HostId, Micros, Verdict};
+
+/// One reply in the making: four bytes for its length, then the records.
+pub struct Reply {
+    bytes: Vec<u8>,
+    speaker: Option<u32>,
+    current: u32,
+}
+
+impl Reply {
+    pub fn new() -> Self {
+        Reply { bytes: vec![0; 4], speaker: None, current: 0 }
+    }
+
+    /// Whose answers come next.
+    pub fn speak_for(&mut self, instance: u32) {
+        self.current = instance;
+    }
+
+    /// The finished frame; the reply is empty again after `clear`.
+    pub fn frame(&mut self) -> &[u8] {
+        let len = (self.bytes.len() - 4) as u32;
+        self.bytes[..4].copy_from_slice(&len.to_be_bytes());
+        &self.bytes
+    }
+
+    pub fn clear(&mut self) {
+        self.bytes.truncate(4);
+        self.speaker = None;
+    }
+
+    fn record(&mut self, code: u8, fields: &[&[u8]]) {
+        if self.speaker != Some(self.current) {
+            self.speaker = Some(self.current);
+            let current = self.current;
+            self.raw(13, &[&current.to_be_bytes()]);
+        }
+        self.raw(code, fields);
+    }
+
+    fn raw(&mut self, code: u8, fields: &[&[u8]]) {
+        let len: usize = fields.iter().map(|f| f.len()).sum();
+        self.bytes.push(code);
+        self.bytes.extend_from_slice(&(len as u32).to_be_bytes());
+        for field in fields {
+            self.bytes.extend_from_slice(field);
+        }
+    }
+}
+
+fn seconds(at: Micros) -> [u8; 8] {
+    (at as f64 / 1e6).to_be_bytes()
+}
+
+impl Egress for Reply {
+    fn deliver(&mut self, cmd: CommandId, host: HostId, until: Option<Micros>) {
+        let until = seconds(until.unwrap_or(0));
+        self.record(0, &[&cmd.0.to_be_bytes(), &host.0.to_be_bytes(), &until]);
+    }
+
+    fn nack(&mut self, cmd: CommandId, come_back: Option<Micros>) {
+        self.record(1, &[&cmd.0.to_be_bytes(), &seconds(come_back.unwrap_or(0))]);
+    }
+
+    fn fail(&mut self, cmd: CommandId) {
+        self.record(2, &[&cmd.0.to_be_bytes()]);
+    }
+
+    fn cancel(&mut self, cmd: CommandId, delivery: u8) {
+        self.record(3, &[&cmd.0.to_be_bytes(), &[delivery]]);
+    }
+
+    fn wake(&mut self, at: Micros) {
+        self.record(4, &[&seconds(at), &0u32.to_be_bytes()]);
+    }
+
+    fn vote(&mut self, build: BuildId, stage: u8, verdict: Verdict) {
+        let code = match verdict {
+            Verdict::None => 0,
+            Verdict::On => 1,
+            Verdict::Hold => 2,
+            Verdict::Back => 3,
+        };
+        self.record(12, &[&build.0.to_be_bytes(), &[stage, code]]);
+    }
+
+    fn probe(&mut self, host: HostId) {
+        self.record(5, &[&host.0.to_be_bytes()]);
+    }
+
+    fn watch_list(&mut self) {
+        self.record(10, &[&[1]]);
+    }
+
+    fn fetch_list(&mut self) {
+        self.record(11, &[]);
+    }
+
+    fn tell_all(&mut self, text: &[u8]) {
+        self.record(7, &[&u16::MAX.to_be_bytes(), &(text.len() as u16).to_be_bytes(), text]);
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-wirehost/src/settings.rs
@@ -0,0 +1,181 @@
+//! The settings text of the wire, turned into the module's terms. Unknown keys are passed over.
+
+use serde::Deserialize;
+use spokeflow_core::{Gate, OpTerms, Repeat, RepeatScope, ServiceTerms, ZoneId};
+
+use crate::frame::micros;
+
+#[derive(Deserialize)]
+struct Params {
+    categories: Vec<Category>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default)]
+    zone: u16,
+    #[serde(default)]
+    me: u32,
+    #[serde(default)]
+    fleet_size: u32,
+    #[serde(default)]
+    resolution_s: f64,
+    #[serde(default)]
+    membership_mode: String,
+    caps: Caps,
+    guarantees: Guarantees,
+    family_info: Family,
+}
+
+#[derive(Deserialize)]
+struct Category {
+    aim_s: f64,
+    deadline_s: f64,
+    #[serde(default)]
+    dedup_scope: Option<String>,
+    #[serde(default)]
+    dedup_window_s: f64,
+    #[serde(default)]
+    effect: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    worth: f64,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    #[serde(default)]
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Caps {
+    max_retry_after_s: f64,
+    may_cancel: bool,
+    parallel_tries: bool,
+    peers: bool,
+    probes: bool,
+    retry_after: bool,
+    send_cap: u32,
+}
+
+impl Default for Caps {
+    fn default() -> Self {
+        Caps {
+            max_retry_after_s: 0.0,
+            may_cancel: false,
+            parallel_tries: false,
+            peers: false,
+            probes: false,
+            retry_after: false,
+            send_cap: 1,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Guarantees {
+    #[serde(default)]
+    ask_within_s: f64,
+    cold_from: f64,
+    drain_grace_s: f64,
+    fall_multiple: f64,
+    fall_s: f64,
+    warm_within_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Family {
+    #[serde(default)]
+    gate_mode: String,
+    #[serde(default)]
+    stage_cap: Vec<f64>,
+    #[serde(default)]
+    waves: Vec<f64>,
+    #[serde(default)]
+    free: f64,
+    span_s: f64,
+    #[serde(default)]
+    counts: String,
+    #[serde(default)]
+    guarded_stages: u8,
+    #[serde(default)]
+    forward_only: bool,
+    #[serde(default)]
+    style: String,
+    #[serde(default)]
+    bake_s: f64,
+    #[serde(default)]
+    vote_ttl_s: f64,
+    #[serde(default)]
+    answer_wait_s: f64,
+    #[serde(default)]
+    complaint_share: f64,
+}
+
+pub fn read(text: &[u8]) -> Result<ServiceTerms, String> {
+    let p: Params = serde_json::from_slice(text).map_err(|e| format!("settings do not parse: {e}"))?;
+    let ops = p.categories.iter().map(op).collect();
+    Ok(ServiceTerms {
+        ops,
+        shares: p.tenants.iter().map(|t| t.allowance_per_s).collect(),
+        own_zone: ZoneId(p.zone),
+        own_index: p.me,
+        fleet_size: p.fleet_size.max(1),
+        tick: micros(p.resolution_s),
+        list_must_be_asked: p.membership_mode == "ask",
+        list_ask_within: micros(p.guarantees.ask_within_s),
+        delivery_cap: p.caps.send_cap,
+        side_by_side: p.caps.parallel_tries,
+        may_cancel: p.caps.may_cancel,
+        may_probe: p.caps.probes,
+        may_tell: p.caps.peers,
+        may_name_return: p.caps.retry_after,
+        longest_return: micros(p.caps.max_retry_after_s),
+        drain_grace: micros(p.guarantees.drain_grace_s),
+        cold_from: p.guarantees.cold_from,
+        warm_within: micros(p.guarantees.warm_within_s),
+        fall_multiple: p.guarantees.fall_multiple,
+        fall_span: micros(p.guarantees.fall_s),
+        gate: match p.family_info.gate_mode.as_str() {
+            "single" => Gate::Single,
+            "majority" => Gate::Majority,
+            "clocked" => Gate::Clocked,
+            other => return Err(format!("settings: gate_mode '{other}' is not known")),
+        },
+        stage_caps: p.family_info.stage_cap,
+        stage_shares: p.family_info.waves,
+        exposure_free: p.family_info.free,
+        exposure_span: micros(p.family_info.span_s),
+        exposure_by_op: p.family_info.counts == "per_lane",
+        guarded_stages: p.family_info.guarded_stages,
+        forward_only: p.family_info.forward_only,
+        rolling: p.family_info.style == "rolling",
+        stage_bake: micros(p.family_info.bake_s),
+        vote_life: micros(p.family_info.vote_ttl_s),
+        vote_wait: micros(p.family_info.answer_wait_s),
+        complaint_share: p.family_info.complaint_share,
+    })
+}
+
+fn op(c: &Category) -> OpTerms {
+    OpTerms {
+        repeat: match c.effect.as_str() {
+            "idempotent" => Repeat::Redeliverable,
+            "deduplicated" => Repeat::Deduplicated,
+            // What is not understood is never run twice.
+            _ => Repeat::AtMostOnce,
+        },
+        repeat_scope: match c.dedup_scope.as_deref() {
+            Some("all") => RepeatScope::All,
+            Some("zone") => RepeatScope::Zone,
+            Some("cell") => RepeatScope::Cell,
+            _ => RepeatScope::Unknown,
+        },
+        repeat_memory: micros(c.dedup_window_s),
+        service_target: micros(c.aim_s),
+        command_timeout: micros(c.deadline_s),
+        importance: c.worth,
+        streamed: c.stream,
+    }
+}
