--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -27,7 +27,7 @@
 const LANE_GROWS: Micros = 2 * SECOND;
 const PIN_IDLE: Micros = 10 * SECOND;
 /// Taken off each judged delivery beside the earlier build's failure rate.
-const FAIL_MARGIN: f64 = 0.05;
+const FAIL_MARGIN: f64 = 0.02;
 const SEND_BACK_AT: f64 = 4.0;
 const HOLD_AT: f64 = 2.0;
 /// A build is quiet below this.
@@ -136,11 +136,12 @@
     spare: f64,
     beaten: Micros,
     swept: Micros,
-    // The judge and its vote.
-    sum: f64,
+    // The judge and its vote. One sum for the failures of each op type, one (the last) for slowness.
+    sums: Vec<f64>,
+    old_fails: Vec<f64>,
+    usual_load: f64,
     seen: u32,
     seen_in_stage: u32,
-    old_fails: f64,
     old_lag: f64,
     peers: BTreeMap<u32, PeerView>,
     told_peers: Micros,
@@ -192,6 +193,8 @@
         Router {
             now,
             ops: ops.collect(),
+            sums: vec![0.0; terms.ops.len() + 1],
+            old_fails: vec![0.0; terms.ops.len()],
             chance: Chance::new(seed),
             stage_began: now,
             beaten: now,
@@ -273,7 +276,7 @@
         let before = self.news.replace(news);
         let same_build = before.is_some_and(|b| b.build == news.build);
         if !same_build {
-            self.sum = 0.0;
+            self.sums.fill(0.0);
             self.seen = 0;
             self.hosts.blame.fill(0.0);
         }
@@ -469,15 +472,23 @@
         if cap <= 0.0 || (stage < self.guarded_stages && self.ops[op].repeat != Repeat::Redeliverable) {
             return false;
         }
-        let from = self.now - self.span;
-        self.taken.retain(|t| t.0 > from);
-        self.exposed.retain(|t| t.0 >= from);
+        self.forget_window();
         let slot = self.slot(op);
         let taken = self.taken.iter().filter(|t| t.1 == slot).count() as f64;
         let sent = self.exposed.iter().filter(|t| t.1 == slot && t.2 == build).count() as f64;
         sent + 1.0 <= self.free + cap * taken
     }
 
+    fn forget_window(&mut self) {
+        let from = self.now - self.span;
+        while self.taken.front().is_some_and(|t| t.0 <= from) {
+            self.taken.pop_front();
+        }
+        while self.exposed.front().is_some_and(|t| t.0 < from) {
+            self.exposed.pop_front();
+        }
+    }
+
     // ---- Placement ------------------------------------------------------------------------------------------
 
     /// Two random choices among the fit hosts of a build, by fewest own commands in flight.
@@ -763,11 +774,14 @@
         if newest && self.hosts.build.iter().any(|b| *b < build) {
             self.seen += 1;
             self.seen_in_stage += 1;
-            let slow = if known { LATE_WEIGHT * (late - self.old_lag.max(0.0) - LATE_MARGIN) } else { 0.0 };
-            self.add(h, failed - self.old_fails - FAIL_MARGIN + slow);
+            self.add(h, op, failed - self.old_fails[op] - FAIL_MARGIN);
+            if known {
+                let excused = self.old_lag.max(0.0) - self.shared_lag(build);
+                self.add(h, self.ops.len(), LATE_WEIGHT * (late - excused.max(0.0) - LATE_MARGIN));
+            }
             return;
         }
-        self.old_fails += 0.02 * (failed - self.old_fails);
+        self.old_fails[op] += 0.02 * (failed - self.old_fails[op]);
         self.old_lag += 0.05 * (late - self.old_lag);
         if acked && self.news.is_none_or(|n| n.standing != Standing::OnTrial) {
             let rules = &mut self.ops[op];
@@ -778,25 +792,45 @@
 
     /// One host may bring no more than half of what sends a build back while others of its build could speak:
     /// a host that crashes, hangs or errs must not convict the build.
-    fn add(&mut self, h: usize, gain: f64) {
+    fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
         let most = if peers >= 3 { SEND_BACK_AT / 2.0 } else { SEND_BACK_AT * 2.0 };
         let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
         self.hosts.blame[h] = (self.hosts.blame[h] + gain).max(0.0);
-        self.sum += gain;
-        if self.sum <= 0.0 {
-            self.sum = 0.0;
+        self.sums[which] = (self.sums[which] + gain).max(0.0);
+        if self.sum() <= 0.0 {
             self.hosts.blame.fill(0.0);
         }
     }
 
+    fn sum(&self) -> f64 {
+        self.sums.iter().sum()
+    }
+
+    /// Traffic taken for each whole host's worth of fit capacity.
+    fn load(&self) -> f64 {
+        let able: f64 = self.ready().filter(|&h| self.fit(h)).map(|h| self.warmth(h)).sum();
+        self.taken.len() as f64 / able.max(1.0)
+    }
+
+    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: what nearly
+    /// all of them suffer alike beyond what the load explains is no excuse. Host troubles strike some, not all.
+    fn shared_lag(&self, build: BuildId) -> f64 {
+        let mut lags: Vec<f64> =
+            self.ready().filter(|&h| self.hosts.build[h] < build).map(|h| self.hosts.lag[h]).collect();
+        lags.sort_by(f64::total_cmp);
+        let common = lags.get(lags.len() / 4).copied().unwrap_or(0.0);
+        let by_load = 2.0 * (self.load() / self.usual_load.max(1e-9)).ln().max(0.0);
+        (common - by_load).max(0.0)
+    }
+
     pub fn disputed(&mut self, host: HostId, since: Micros) {
         let Some(&h) = self.index.get(&host) else { return };
         // The answer may be that of the process before this one.
         let before = self.hosts.started[h].is_some_and(|at| self.now - since < at);
         let build = if before { self.hosts.build_before[h] } else { self.hosts.build[h] };
         if self.news.is_some_and(|n| build >= n.build) && !self.sent_back(build) {
-            self.add(h, self.complaint_weight);
+            self.add(h, 0, self.complaint_weight);
         }
     }
 
@@ -818,7 +852,7 @@
     /// What the fleet knows of the build: own sum and those that peers have told of lately.
     fn pooled(&self, build: BuildId) -> (f64, u32) {
         let fresh = self.peers.values().filter(|p| p.build == build && self.now - p.at < 3 * SECOND);
-        fresh.fold((self.sum, self.seen), |(sum, seen), p| (sum + p.sum, seen + p.seen))
+        fresh.fold((self.sum(), self.seen), |(sum, seen), p| (sum + p.sum, seen + p.seen))
     }
 
     fn verdict(&self) -> Option<(BuildId, u8, Verdict)> {
@@ -827,14 +861,14 @@
         let on_trial = news.standing == Standing::OnTrial;
         // Once released, going back means a cold start of the whole fleet: it wants twice the proof.
         let proof = SEND_BACK_AT * if on_trial { 1.0 } else { 2.0 };
-        if self.seen >= ENOUGH_ANSWERS && self.sum >= proof || sum >= 1.5 * proof {
+        if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || sum >= 1.5 * proof {
             return Some((news.build, news.stage, Verdict::Back));
         }
         if !on_trial {
             return None;
         }
         if self.gate == Gate::Clocked {
-            return (self.sum > HOLD_AT).then_some((news.build, news.stage, Verdict::Hold));
+            return (self.sum() > HOLD_AT).then_some((news.build, news.stage, Verdict::Hold));
         }
         let count = self.ready_with(news.build).count();
         let latest = self.ready_with(news.build).filter_map(|h| self.hosts.started[h]).max().unwrap_or(0);
@@ -886,6 +920,10 @@
         let fade = (-(self.now - self.beaten) as f64 / SECOND as f64).exp();
         self.ops.iter_mut().for_each(|o| o.acks *= fade);
         self.grow_lane();
+        self.forget_window();
+        if self.news.is_none_or(|n| n.standing != Standing::OnTrial) {
+            self.usual_load += 0.005 * (self.load() - self.usual_load);
+        }
         self.beaten = self.now;
         self.place_held(out);
         self.hurry(out);
@@ -897,7 +935,7 @@
         if let Some(news) = self.news.filter(|_| self.may_tell && self.seen > 0) {
             if self.now - self.told_peers >= SECOND / 2 {
                 self.told_peers = self.now;
-                let figures = [news.build.0, (self.sum * 100.0) as u16, self.seen.min(65_535) as u16];
+                let figures = [news.build.0, (self.sum() * 100.0) as u16, self.seen.min(65_535) as u16];
                 let [[b1, b0], [s1, s0], [n1, n0]] = figures.map(u16::to_be_bytes);
                 out.tell_all(&[1, b1, b0, s1, s0, n1, n0]);
             }
