Convict a build only by two in five of its hosts; tell odd hosts by the median

Cause: after release, fast errors on 6 of 20 hosts brought 2 points each and sent a good build back.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -729,9 +729,12 @@
                 self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15;
                 // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the others of its
                 // build is set aside: a build that errs everywhere is the judge's, and must not hide as hosts.
-                let others = self.ready_with(self.hosts.build[h]).filter(|&o| o != h);
-                let (n, sum) = others.fold((0.0, 0.0), |(n, sum), o| (n + 1.0, sum + self.hosts.errors[o]));
-                if n > 0.0 && self.hosts.errors[h] > 0.3 + 2.0 * sum / n {
+                let mut others: Vec<f64> =
+                    self.ready_with(self.hosts.build[h]).map(|o| self.hosts.errors[o]).collect();
+                others.sort_by(f64::total_cmp);
+                if self.hosts.errors[h]
+                    > 0.25 + 2.0 * others.get((others.len().max(1) - 1) / 2).copied().unwrap_or(0.0)
+                {
                     self.strike(h, SECOND);
                 }
             }
@@ -790,11 +793,13 @@
         }
     }
 
-    /// One host may bring no more than half of what sends a build back while others of its build could speak:
-    /// a host that crashes, hangs or errs must not convict the build.
+    /// A build is convicted by two in five of its hosts, and by two at least where it has three: each may bring
+    /// only its part. Guards against hosts that crash, hang, err or crawl, one or a third of them at once; it could
+    /// harm by a few more failures before a build goes back that fails rarely and on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
-        let most = if peers >= 3 { SEND_BACK_AT / 2.0 } else { SEND_BACK_AT * 2.0 };
+        let most =
+            SEND_BACK_AT / [0.5, 0.5, 1.5].get(peers).map_or((0.4 * peers as f64).max(2.0), |few| *few);
         let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
         self.hosts.blame[h] = (self.hosts.blame[h] + gain).max(0.0);
         self.sums[which] = (self.sums[which] + gain).max(0.0);
