Judge a slowdown shared by all hosts against the time before the trial; proofs apart

Every answer during a trial now counts against the time before, less what traffic explains. Covers any fleet-wide slowdown in a trial; harms where something else slows the whole fleet then.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -35,7 +35,7 @@
 /// Slowness, as a logarithm against the time before the trial, that is laid to chance and load.
 const LATE_MARGIN: f64 = 0.6;
 /// What one unit of slowness beyond the margin weighs in the judge's sum.
-const LATE_WEIGHT: f64 = 0.5;
+const LATE_WEIGHT: f64 = 0.4;
 /// Answers that a router needs from a build before it votes on it.
 const ENOUGH_ANSWERS: u32 = 3;
 /// Share of the commands that may be delivered again at a guess (no answer yet, or an error), and the most saved up.
@@ -136,10 +136,12 @@
     spare: f64,
     beaten: Micros,
     swept: Micros,
-    // The judge and its vote. One sum for the failures of each op type, one (the last) for slowness.
+    // The judge and its vote. One sum for the failures of each op type, one for the build's
+    // slowness, and the last for slowness that all hosts share.
     sums: Vec<f64>,
     old_fails: Vec<f64>,
     usual_load: f64,
+    born: Micros,
     seen: u32,
     seen_in_stage: u32,
     old_lag: f64,
@@ -193,11 +195,12 @@
         Router {
             now,
             ops: ops.collect(),
-            sums: vec![0.0; terms.ops.len() + 1],
+            sums: vec![0.0; terms.ops.len() + 2],
             old_fails: vec![0.0; terms.ops.len()],
             chance: Chance::new(seed),
             stage_began: now,
             beaten: now,
+            born: now,
             spare: SPARE_AT_MOST / 2.0,
             ask_list_at: terms.list_must_be_asked.then_some(now + 5 * SECOND),
             ask_pause: SECOND / 2,
@@ -773,14 +776,16 @@
         let known = acked && self.ops[op].usual_seen >= 20;
         let late = if known { (time - self.ops[op].usual).clamp(-2.0, 2.0) } else { 0.0 };
         self.hosts.lag[h] += 0.15 * (late - self.hosts.lag[h]);
+        if known {
+            self.judge_shared(late);
+        }
         let newest = self.news.is_some_and(|n| build >= n.build && !self.sent_back(n.build));
         if newest && self.hosts.build.iter().any(|b| *b < build) {
             self.seen += 1;
             self.seen_in_stage += 1;
             self.add(h, op, failed - self.old_fails[op] - FAIL_MARGIN);
             if known {
-                let excused = self.old_lag.max(0.0) - self.shared_lag(build);
-                self.add(h, self.ops.len(), LATE_WEIGHT * (late - excused.max(0.0) - LATE_MARGIN));
+                self.add(h, self.ops.len(), LATE_WEIGHT * (late - self.old_lag.max(0.0) - LATE_MARGIN));
             }
             return;
         }
@@ -808,8 +813,10 @@
         }
     }
 
+    /// Failures add up over the op types; slowness is another proof of its own, and one answer counts in one only.
     fn sum(&self) -> f64 {
-        self.sums.iter().sum()
+        let (fails, late) = self.sums.split_at(self.ops.len());
+        late.iter().copied().fold(fails.iter().sum(), f64::max)
     }
 
     /// Traffic taken for each whole host's worth of fit capacity.
@@ -818,15 +825,18 @@
         self.taken.len() as f64 / able.max(1.0)
     }
 
-    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: what nearly
-    /// all of them suffer alike beyond what the load explains is no excuse. Host troubles strike some, not all.
-    fn shared_lag(&self, build: BuildId) -> f64 {
-        let mut lags: Vec<f64> =
-            self.ready().filter(|&h| self.hosts.build[h] < build).map(|h| self.hosts.lag[h]).collect();
-        lags.sort_by(f64::total_cmp);
-        let common = lags.get(lags.len() / 4).copied().unwrap_or(0.0);
-        let by_load = 2.0 * (self.load() / self.usual_load.max(1e-9)).ln().max(0.0);
-        (common - by_load).max(0.0)
+    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: while one is
+    /// on trial every answer counts against the time before it, less what the traffic explains. Host troubles strike
+    /// some hosts and not most; it could harm where something else slows the whole fleet during a trial.
+    fn judge_shared(&mut self, late: f64) {
+        if self.news.is_some_and(|n| n.standing == Standing::OnTrial)
+            && self.seen > 0
+            && self.usual_load > 0.0
+        {
+            let by_load = (2.0 * (self.load() / self.usual_load).ln()).clamp(0.0, 0.5);
+            let sum = self.sums.last_mut().expect("made at start");
+            *sum = (*sum + LATE_WEIGHT * (late.min(1.5) - by_load - LATE_MARGIN)).max(0.0);
+        }
     }
 
     pub fn disputed(&mut self, host: HostId, since: Micros) {
@@ -866,7 +876,7 @@
         let on_trial = news.standing == Standing::OnTrial;
         // Once released, going back means a cold start of the whole fleet: it wants twice the proof.
         let proof = SEND_BACK_AT * if on_trial { 1.0 } else { 2.0 };
-        if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || sum >= 1.5 * proof {
+        if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || sum >= 2.0 * proof {
             return Some((news.build, news.stage, Verdict::Back));
         }
         if !on_trial {
@@ -926,8 +936,9 @@
         self.ops.iter_mut().for_each(|o| o.acks *= fade);
         self.grow_lane();
         self.forget_window();
-        if self.news.is_none_or(|n| n.standing != Standing::OnTrial) {
-            self.usual_load += 0.005 * (self.load() - self.usual_load);
+        if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now - self.born > self.span {
+            let pace = if self.usual_load > 0.0 { 0.01 } else { 1.0 };
+            self.usual_load += pace * (self.load() - self.usual_load);
         }
         self.beaten = self.now;
         self.place_held(out);
