--- /dev/null
+++ b/crates/spokeflow-core/tests/rules.rs
@@ -0,0 +1,158 @@
+//! Random runs from a fixed seed: the ledger checks the five rules after every step, in all gate modes and effects.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use spokeflow_core::*;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Command { op: usize, key: u64, left: Micros },
+    End { pick: usize, end: DeliveryEnd },
+    Pass(Micros),
+    List { host: u32, build: u16, phase: HostPhase, fresh: bool, whole: bool },
+    ListFails,
+    News { build: u16, stage: u8, standing: Standing, cap: f64 },
+    VoteAnswer(VoteAnswer),
+    Leave(usize),
+    Heard(Vec<u8>),
+    Disputed { host: u32, since: Micros },
+}
+
+fn ends() -> impl Strategy<Value = DeliveryEnd> {
+    use DeliveryEnd::*;
+    prop_oneof![
+        8 => Just(Acked),
+        3 => prop_oneof![Just(Error), Just(Full), Just(TimedOut), Just(NotConnected), Just(Reset), Just(Cancelled)],
+    ]
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    use Standing::*;
+    let standing =
+        prop_oneof![3 => Just(OnTrial), 1 => Just(GoingBack), 2 => Just(Released), 1 => Just(Withdrawn)];
+    let cap = prop_oneof![Just(0.0), Just(0.1), Just(0.4), Just(1.0)];
+    let phase =
+        prop_oneof![4 => Just(HostPhase::Ready), 1 => Just(HostPhase::Draining), 1 => Just(HostPhase::Gone)];
+    let answer = prop_oneof![
+        Just(VoteAnswer::Counted),
+        Just(VoteAnswer::Moot),
+        Just(VoteAnswer::TooMany),
+        Just(VoteAnswer::Refused),
+        Just(VoteAnswer::Silence),
+    ];
+    let step = prop_oneof![
+        30 => (0..4usize, 0..40u64, 30 * MS..2 * SECOND).prop_map(|(op, key, left)| Step::Command { op, key, left }),
+        30 => (0..64usize, ends()).prop_map(|(pick, end)| Step::End { pick, end }),
+        20 => (MS..120 * MS).prop_map(Step::Pass),
+        2 => (SECOND..6 * SECOND).prop_map(Step::Pass),
+        6 => (0..10u32, 7..9u16, phase, any::<bool>(), 0..20u8).prop_map(|(host, build, phase, fresh, whole)| {
+            Step::List { host, build, phase, fresh, whole: whole == 0 }
+        }),
+        1 => Just(Step::ListFails),
+        3 => (7..10u16, 0..5u8, standing, cap)
+            .prop_map(|(build, stage, standing, cap)| Step::News { build, stage, standing, cap }),
+        2 => answer.prop_map(Step::VoteAnswer),
+        1 => (0..64usize).prop_map(Step::Leave),
+        1 => proptest::collection::vec(any::<u8>(), 0..9).prop_map(Step::Heard),
+        1 => (0..12u32, 0..9 * SECOND).prop_map(|(host, since)| Step::Disputed { host, since }),
+    ];
+    proptest::collection::vec(step, 50..300)
+}
+
+fn play(terms: ServiceTerms, seed: u64, steps: Vec<Step>) {
+    let (mut router, mut ledger) = Ledger::start(terms, seed);
+    let router = &mut router;
+    let hosts: Vec<HostLine> = (0..8).map(|h| line(h, if h < 6 { OLD } else { NEW })).collect();
+    ledger.list(router, ListKind::Remembered, &hosts);
+    ledger.tell(router, news(NEW, 0, Standing::OnTrial, 0.1));
+    for (n, step) in steps.into_iter().enumerate() {
+        match step {
+            Step::Command { op, key, left } => ledger.command(router, n as u32, op, key, left),
+            Step::End { pick, end } => {
+                let open = ledger.open();
+                if !open.is_empty() {
+                    let (cmd, nth) = open[pick % open.len()];
+                    ledger.end(router, cmd, nth, end);
+                    // A rule about keys looks at answers of earlier batches: the next batch is a tick later.
+                    ledger.pass(router, 5 * MS);
+                }
+            }
+            Step::Pass(span) => ledger.pass(router, span),
+            Step::List { host, build, phase, fresh, whole } => {
+                let started = if fresh { Some(ledger.now - 300 * MS) } else { None };
+                let one = HostLine { build: Some(BuildId(build)), phase, started, ..line(host, OLD) };
+                if whole {
+                    let mut all: Vec<HostLine> = ledger.lines.values().copied().collect();
+                    all.retain(|l| l.host.0 % 10 != (host + 1) % 10 && l.host != one.host);
+                    all.retain(|l| l.phase != HostPhase::Gone);
+                    all.push(HostLine { phase: HostPhase::Ready, ..one });
+                    ledger.list(router, ListKind::Whole, &all);
+                } else {
+                    ledger.list(router, ListKind::Changes, &[one]);
+                }
+            }
+            Step::ListFails => router.at(ledger.now).list_failed(),
+            Step::News { build, stage, standing, cap } => {
+                ledger.tell(router, news(BuildId(build), stage, standing, cap));
+            }
+            Step::VoteAnswer(answer) => router.at(ledger.now).vote_answered(answer),
+            Step::Leave(pick) => {
+                let open = ledger.open();
+                if !open.is_empty() {
+                    let cmd = open[pick % open.len()].0;
+                    ledger.owed.get_mut(&cmd).expect("open").answered = true;
+                    router.at(ledger.now).client_left(cmd, &mut ledger);
+                }
+            }
+            Step::Heard(text) => router.at(ledger.now).heard(1, &text),
+            Step::Disputed { host, since } => router.at(ledger.now).disputed(HostId(host), since),
+        }
+    }
+    ledger.pass(router, 3 * SECOND);
+    assert!(ledger.owed.values().all(|o| o.answered), "rule 1: a command without an answer at the end");
+}
+
+fn run(change: impl Fn(&mut ServiceTerms)) {
+    let config = Config { cases: 60, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[41; 32]);
+    let gates = prop_oneof![Just(Gate::Single), Just(Gate::Majority), Just(Gate::Clocked)];
+    let runs = (gates, any::<u64>(), steps());
+    let outcome = TestRunner::new_with_rng(config, rng).run(&runs, |(gate, seed, steps)| {
+        let mut terms = terms(gate);
+        change(&mut terms);
+        play(terms, seed, steps);
+        Ok(())
+    });
+    if let Err(e) = outcome {
+        panic!("{e}");
+    }
+}
+
+#[test]
+fn rules_hold_with_copies_side_by_side() {
+    run(|_| {});
+}
+
+#[test]
+fn rules_hold_with_one_copy_at_a_time_counted_by_op() {
+    run(|t| {
+        t.side_by_side = false;
+        t.exposure_by_op = true;
+        t.exposure_free = 1.0;
+        t.may_tell = false;
+    });
+}
+
+#[test]
+fn rules_hold_with_guarded_stages_and_no_one_way() {
+    run(|t| {
+        t.guarded_stages = 2;
+        t.forward_only = false;
+        t.may_cancel = false;
+        t.list_must_be_asked = false;
+        t.may_name_return = false;
+    });
+}
