--- a/crates/spokeflow-core/src/ids.rs
+++ b/crates/spokeflow-core/src/ids.rs
@@ -23,6 +23,10 @@
     Key(u64)
 );
 id!(ZoneId(u16));
+id!(
+    /// Index of a customer in [`crate::ServiceTerms::shares`].
+    ShareId(u32)
+);
 
 /// A time or a span in whole microseconds.
 pub type Micros = i64;
--- a/crates/spokeflow-core/src/lib.rs
+++ b/crates/spokeflow-core/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use chance::Chance;
 pub use egress::{Egress, Verdict};
-pub use ids::{BuildId, CommandId, HostId, Key, Micros, OpType, ZoneId};
+pub use ids::{BuildId, CommandId, HostId, Key, Micros, OpType, ShareId, ZoneId};
 pub use router::Router;
 pub use terms::{
     DeliveryEnd, Gate, HostLine, HostPhase, ListKind, OpTerms, Repeat, RepeatScope, ServiceTerms, StageNews,
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     BuildId, Chance, CommandId, DeliveryEnd, Egress, Gate, HostId, HostLine, HostPhase, Key, ListKind,
-    Micros, OpType, Repeat, RepeatScope, ServiceTerms, StageNews, Standing, Verdict, VoteAnswer, ZoneId,
+    Micros, OpType, Repeat, RepeatScope, ServiceTerms, ShareId, StageNews, Standing, Verdict, VoteAnswer,
+    ZoneId,
 };
 
 type Out<'a> = &'a mut dyn Egress;
@@ -43,7 +44,7 @@
 const SPARE_AT_MOST: f64 = 10.0;
 /// Parts of the service target: spent at hosts where they are crowded, waited for a place, waited before a second
 /// delivery where the host looks sick, and where it does not.
-const CROWDED_PART: f64 = 0.45;
+const CROWDED_PART: f64 = 0.4;
 const HOLD_PART: f64 = 0.3;
 const DOUBT_PART: f64 = 0.35;
 const PATIENCE_PART: f64 = 0.75;
@@ -72,11 +73,11 @@
 struct Command {
     op: usize,
     key: Key,
+    share: usize,
     place: f64,
     taken: Micros,
     until: Micros,
     ended: bool,
-    held: bool,
     deliveries: Vec<Delivery>,
 }
 
@@ -141,7 +142,7 @@
     sums: Vec<f64>,
     old_fails: Vec<f64>,
     usual_load: f64,
-    born: Micros,
+    full_from: Micros,
     seen: u32,
     seen_in_stage: u32,
     old_lag: f64,
@@ -153,7 +154,9 @@
     vote_out: bool,
     ask_list_at: Option<Micros>,
     ask_pause: Micros,
+    served: Vec<f64>,
     // Derived at start.
+    shares: Vec<f64>,
     own_index: u32,
     fleet: f64,
     delivery_cap: usize,
@@ -195,12 +198,14 @@
         Router {
             now,
             ops: ops.collect(),
+            served: vec![0.0; terms.shares.len().max(1)],
+            shares: if terms.shares.is_empty() { vec![1.0] } else { terms.shares.clone() },
             sums: vec![0.0; terms.ops.len() + 2],
             old_fails: vec![0.0; terms.ops.len()],
             chance: Chance::new(seed),
             stage_began: now,
             beaten: now,
-            born: now,
+            full_from: now + terms.exposure_span,
             spare: SPARE_AT_MOST / 2.0,
             ask_list_at: terms.list_must_be_asked.then_some(now + 5 * SECOND),
             ask_pause: SECOND / 2,
@@ -332,7 +337,7 @@
 
     // ---- Intake ---------------------------------------------------------------------------------------------
 
-    pub fn command(&mut self, cmd: CommandId, op: OpType, key: Key, left: Micros, out: Out) {
+    pub fn command(&mut self, cmd: CommandId, op: OpType, share: ShareId, key: Key, left: Micros, out: Out) {
         let op = usize::from(op.0);
         if op >= self.ops.len() {
             out.nack(cmd, None);
@@ -342,9 +347,15 @@
         self.spare = (self.spare + SPARE_PER_COMMAND).min(SPARE_AT_MOST);
         let place = unit(if key.0 == 0 { u64::from(cmd.0) | 1 << 40 } else { key.0 });
         let (taken, until, deliveries) = (self.now, self.now + left, Vec::new());
-        let command = Command { op, key, place, taken, until, ended: false, held: false, deliveries };
+        let share = (share.0 as usize).min(self.shares.len() - 1);
+        let command = Command { op, key, share, place, taken, until, ended: false, deliveries };
         self.cmds.insert(cmd, command);
-        self.route(cmd, out);
+        if self.held.is_empty() {
+            self.route(cmd, out);
+        } else {
+            self.held.push_back(cmd);
+            self.place_held(out);
+        }
     }
 
     /// Runs the chain for a command that is owed an answer; says whether a delivery went out.
@@ -366,27 +377,28 @@
                 return true;
             }
         }
-        let Some(c) = self.cmds.get_mut(&cmd).filter(|c| c.deliveries.iter().all(|d| !d.open)) else {
+        let Some(c) = self.cmds.get(&cmd).filter(|c| c.deliveries.iter().all(|d| !d.open)) else {
             return false;
         };
         let wait_until = (c.taken + (self.ops[op].target * HOLD_PART) as Micros).min(c.until - 2 * BEAT);
         // A full counter under one-way rules is refused at once: the client comes back when there is room.
         if full && floor.is_some() || self.now >= wait_until {
             self.give_up(cmd, out);
-        } else if !c.held {
-            c.held = true;
+        } else {
             self.held.push_back(cmd);
         }
         false
     }
 
+    /// Those that wait go by what their customer has had of its share, so that where not all can be served the
+    /// ones far beyond their share wait in vain. Without shares they go in turn.
     fn place_held(&mut self, out: Out) {
-        for _ in 0..self.held.len() {
-            let Some(cmd) = self.held.pop_front() else { break };
-            if let Some(c) = self.cmds.get_mut(&cmd) {
-                c.held = false;
-                self.route(cmd, out);
-            }
+        let mut held = std::mem::take(&mut self.held);
+        let had =
+            |cmd: &CommandId| self.cmds.get(cmd).map_or(0.0, |c| self.served[c.share] / self.shares[c.share]);
+        held.make_contiguous().sort_by(|a, b| had(a).total_cmp(&had(b)));
+        for cmd in held {
+            self.route(cmd, out);
         }
     }
 
@@ -459,11 +471,7 @@
     // ---- Exposure -------------------------------------------------------------------------------------------
 
     fn slot(&self, op: usize) -> usize {
-        if self.by_op {
-            op
-        } else {
-            0
-        }
+        op * usize::from(self.by_op)
     }
 
     fn room(&mut self, build: BuildId, op: usize) -> bool {
@@ -571,13 +579,14 @@
         let on_trial = self.on_trial(build);
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
         if on_trial {
-            self.exposed.push_back((sent, if self.by_op { c.op } else { 0 }, build));
+            self.exposed.push_back((sent, c.op * usize::from(self.by_op), build));
         }
         c.deliveries.push(Delivery { host, build, sent, open: true, may_have_run: true, started: false });
         if self.hosts.in_flight[host] == 0 {
             self.hosts.mute_since[host] = sent;
         }
         self.hosts.in_flight[host] += 1;
+        self.served[c.share] += 1.0;
         out.deliver(cmd, self.hosts.id[host], None);
     }
 
@@ -849,11 +858,6 @@
         }
     }
 
-    /// The desk's sums are late and thin beside a router's own answers: they change nothing.
-    pub fn summed(&mut self, _build: BuildId, _op: OpType, _samples: u32, _lost: u32) {}
-
-    pub fn probed(&mut self, _host: HostId, _end: DeliveryEnd) {}
-
     pub fn heard(&mut self, sender: u32, text: &[u8]) {
         if let [1, b1, b0, s1, s0, n1, n0] = *text {
             let [build, sum, seen] = [[b1, b0], [s1, s0], [n1, n0]].map(u16::from_be_bytes);
@@ -934,9 +938,10 @@
     fn beat(&mut self, out: Out) {
         let fade = (-(self.now - self.beaten) as f64 / SECOND as f64).exp();
         self.ops.iter_mut().for_each(|o| o.acks *= fade);
+        self.served.iter_mut().for_each(|s| *s *= fade);
         self.grow_lane();
         self.forget_window();
-        if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now - self.born > self.span {
+        if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now > self.full_from {
             let pace = if self.usual_load > 0.0 { 0.01 } else { 1.0 };
             self.usual_load += pace * (self.load() - self.usual_load);
         }
@@ -987,14 +992,9 @@
         self.zone.push(line.zone);
         self.phase.push(line.phase);
         self.started.push(line.started);
-        self.in_flight.push(0);
-        self.answers.push(0);
-        self.strikes.push(0);
-        self.shut_until.push(Micros::MIN);
-        self.errors.push(0.0);
-        self.lag.push(0.0);
-        self.mute_since.push(0);
-        self.blame.push(0.0);
+        [&mut self.in_flight, &mut self.answers, &mut self.strikes].into_iter().for_each(|v| v.push(0));
+        [&mut self.shut_until, &mut self.mute_since].into_iter().for_each(|v| v.push(Micros::MIN));
+        [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v.push(0.0));
         self.id.len() - 1
     }
 
@@ -1005,12 +1005,9 @@
             self.build_before[h] = self.build[h];
             self.build[h] = build;
             self.started[h] = line.started;
-            self.answers[h] = 0;
-            self.strikes[h] = 0;
+            [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
+            [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
             self.shut_until[h] = Micros::MIN;
-            self.errors[h] = 0.0;
-            self.lag[h] = 0.0;
-            self.blame[h] = 0.0;
         }
         self.cell[h] = line.cell;
         self.zone[h] = line.zone;
--- a/crates/spokeflow-core/src/terms.rs
+++ b/crates/spokeflow-core/src/terms.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug)]
 pub struct ServiceTerms {
     pub ops: Vec<OpTerms>,
+    /// What each customer may send a second, all routers together; above 0.
+    pub shares: Vec<f64>,
     pub own_zone: ZoneId,
     pub own_index: u32,
     pub fleet_size: u32,
--- a/crates/spokeflow-core/tests/common/mod.rs
+++ b/crates/spokeflow-core/tests/common/mod.rs
@@ -27,6 +27,7 @@
             op(Repeat::AtMostOnce, RepeatScope::Unknown),
             op(Repeat::Deduplicated, RepeatScope::Zone),
         ],
+        shares: vec![20.0, 5.0],
         own_zone: ZoneId(0),
         own_index: 0,
         fleet_size: 3,
@@ -151,7 +152,7 @@
         self.taken.push((self.now, slot));
         let owed = Owed { op, key: Key(key), until: self.now + left, answered: false, sent: Vec::new() };
         self.owed.insert(CommandId(id), owed);
-        router.at(self.now).command(CommandId(id), OpType(op as u16), Key(key), left, self);
+        router.at(self.now).command(CommandId(id), OpType(op as u16), ShareId(id % 3), Key(key), left, self);
     }
 
     pub fn open(&self) -> Vec<(CommandId, usize)> {
--- a/crates/spokeflow-wirehost/src/main.rs
+++ b/crates/spokeflow-wirehost/src/main.rs
@@ -12,7 +12,7 @@
 use reply::Reply;
 use spokeflow_core::{
     BuildId, CommandId, DeliveryEnd, HostId, HostLine, HostPhase, Key, ListKind, Micros, OpType, Router,
-    StageNews, Standing, VoteAnswer, ZoneId,
+    ShareId, StageNews, Standing, VoteAnswer, ZoneId,
 };
 
 fn main() -> ExitCode {
@@ -130,12 +130,12 @@
             2 => {
                 let cmd = CommandId(f.u32()?);
                 f.u8()?;
-                f.u32()?;
+                let share = ShareId(f.u32()?);
                 let op = OpType(f.u16()?);
                 f.f64()?;
                 let key = Key(f.u64()?);
                 let left = f.time()?;
-                router.command(cmd, op, key, left, out);
+                router.command(cmd, op, share, key, left, out);
             }
             3 => {
                 let cmd = CommandId(f.u32()?);
@@ -158,13 +158,6 @@
                 f.u32()?;
                 router.woken(out);
             }
-            7 => {
-                let host = HostId(f.u32()?);
-                let end = delivery_end(f)?;
-                f.f64()?;
-                f.load()?;
-                router.probed(host, end);
-            }
             8 => {
                 let sender = f.u32()?;
                 let len = f.u16()?;
@@ -194,21 +187,13 @@
                     router.told(StageNews { build, stage, standing, cap, age }, out);
                 }
             }
-            11 => {
-                let samples = f.u32()?;
-                f.f64()?;
-                let op = OpType(f.u16()?);
-                let build = BuildId(f.u16()?);
-                f.f64()?;
-                router.summed(build, op, samples, f.u32()?);
-            }
             12 => {
                 let host = HostId(f.u32()?);
                 let since = f.time()?;
                 f.u16()?;
                 router.disputed(host, since);
             }
-            // Codes of a later wire are passed over by their length.
+            // Probes are not asked for, sums of the desk not used, and codes of a later wire not known: passed over.
             _ => {}
         }
         Ok(())
--- a/crates/spokeflow-wirehost/src/settings.rs
+++ b/crates/spokeflow-wirehost/src/settings.rs
@@ -9,6 +9,8 @@
 struct Params {
     categories: Vec<Category>,
     #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default)]
     zone: u16,
     #[serde(default)]
     me: u32,
@@ -39,6 +41,12 @@
     worth: f64,
 }
 
+#[derive(Deserialize)]
+struct Tenant {
+    #[serde(default)]
+    allowance_per_s: f64,
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Caps {
@@ -110,6 +118,7 @@
     let ops = p.categories.iter().map(op).collect();
     Ok(ServiceTerms {
         ops,
+        shares: p.tenants.iter().map(|t| t.allowance_per_s.max(1e-3)).collect(),
         own_zone: ZoneId(p.zone),
         own_index: p.me,
         fleet_size: p.fleet_size.max(1),
