--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -111,13 +111,6 @@
     blame: Vec<f64>,
 }
 
-struct PeerView {
-    at: Micros,
-    build: BuildId,
-    sum: f64,
-    seen: u32,
-}
-
 #[derive(Default)]
 pub struct Router {
     now: Micros,
@@ -141,12 +134,14 @@
     // slowness, and the last for slowness that all hosts share.
     sums: Vec<f64>,
     old_fails: Vec<f64>,
-    usual_load: f64,
-    full_from: Micros,
+    usual_load: [f64; 2],
+    flow: [f64; 2],
+    born: Micros,
     seen: u32,
     seen_in_stage: u32,
     old_lag: f64,
-    peers: BTreeMap<u32, PeerView>,
+    /// When each peer last told of which build, its sum and the answers it rests on.
+    peers: BTreeMap<u32, (Micros, BuildId, f64, u32)>,
     told_peers: Micros,
     vote: Option<(BuildId, u8, Verdict)>,
     vote_stands_until: Micros,
@@ -157,7 +152,6 @@
     served: Vec<f64>,
     // Derived at start.
     shares: Vec<f64>,
-    own_index: u32,
     fleet: f64,
     delivery_cap: usize,
     side_by_side: bool,
@@ -205,11 +199,10 @@
             chance: Chance::new(seed),
             stage_began: now,
             beaten: now,
-            full_from: now + terms.exposure_span,
+            born: now,
             spare: SPARE_AT_MOST / 2.0,
             ask_list_at: terms.list_must_be_asked.then_some(now + 5 * SECOND),
             ask_pause: SECOND / 2,
-            own_index: terms.own_index,
             fleet: f64::from(terms.fleet_size.max(1)),
             delivery_cap: terms.delivery_cap.min(4) as usize,
             side_by_side: terms.side_by_side,
@@ -343,6 +336,7 @@
             out.nack(cmd, None);
             return;
         }
+        self.flow[0] += 1.0;
         self.taken.push_back((self.now, self.slot(op)));
         self.spare = (self.spare + SPARE_PER_COMMAND).min(SPARE_AT_MOST);
         let place = unit(if key.0 == 0 { u64::from(cmd.0) | 1 << 40 } else { key.0 });
@@ -350,12 +344,8 @@
         let share = (share.0 as usize).min(self.shares.len() - 1);
         let command = Command { op, key, share, place, taken, until, ended: false, deliveries };
         self.cmds.insert(cmd, command);
-        if self.held.is_empty() {
-            self.route(cmd, out);
-        } else {
-            self.held.push_back(cmd);
-            self.place_held(out);
-        }
+        self.held.push_back(cmd);
+        self.place_held(out);
     }
 
     /// Runs the chain for a command that is owed an answer; says whether a delivery went out.
@@ -539,8 +529,8 @@
         }
         let (a, b) = (pool[self.chance.below(pool.len())], pool[self.chance.below(pool.len())]);
         // Own commands in flight, weighed by how slowly the host has answered of late.
-        let weigh =
-            |h: usize| f64::from(self.hosts.in_flight[h] + 1) * self.hosts.lag[h].clamp(0.0, 2.0).exp();
+        let crawl = |h: usize| self.hosts.lag[h].clamp(0.0, 2.0).exp();
+        let weigh = |h: usize| f64::from(self.hosts.in_flight[h] + 1) * crawl(h);
         Some(if weigh(b) < weigh(a) { b } else { a })
     }
 
@@ -637,7 +627,7 @@
         nth: u8,
         end: DeliveryEnd,
         took: Micros,
-        closed: bool,
+        done: bool,
         out: Out,
     ) {
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
@@ -652,13 +642,14 @@
         }
         if end == DeliveryEnd::Acked {
             self.ops[op].acks += 1.0;
+            self.flow[1] += 1.0;
             let newest = build.max(self.hosts.build[h]);
             if key.0 != 0 && !self.sent_back(newest) {
                 let pin = self.pins.entry(key).or_insert(Pin { build, used: self.now, answered_by: None });
                 pin.answered_by = pin.answered_by.max(Some(newest));
             }
         }
-        if closed {
+        if done || self.cmds[&cmd].ended {
             self.end(cmd, out);
         } else {
             self.settle(cmd, may_have_run(end), out);
@@ -669,9 +660,7 @@
     /// After a delivery without an ack: another one where the op type allows it, else the final answer.
     fn settle(&mut self, cmd: CommandId, guess: bool, out: Out) {
         let Some(c) = self.cmds.get(&cmd) else { return };
-        if c.ended {
-            self.forget_if_done(cmd);
-        } else if c.deliveries.iter().all(|d| !d.open) {
+        if c.deliveries.iter().all(|d| !d.open) {
             if c.until - self.now < 2 * BEAT || !self.may_redeliver(c) || (guess && self.spare < 1.0) {
                 self.give_up(cmd, out);
             } else {
@@ -719,11 +708,7 @@
             }
         }
         c.ended = true;
-        self.forget_if_done(cmd);
-    }
-
-    fn forget_if_done(&mut self, cmd: CommandId) {
-        if self.cmds.get(&cmd).is_some_and(|c| c.ended && c.deliveries.iter().all(|d| !d.open)) {
+        if c.deliveries.iter().all(|d| !d.open) {
             self.cmds.remove(&cmd);
         }
     }
@@ -741,12 +726,10 @@
                 self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15;
                 // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the others of its
                 // build is set aside: a build that errs everywhere is the judge's, and must not hide as hosts.
-                let mut others: Vec<f64> =
-                    self.ready_with(self.hosts.build[h]).map(|o| self.hosts.errors[o]).collect();
-                others.sort_by(f64::total_cmp);
-                if self.hosts.errors[h]
-                    > 0.25 + 2.0 * others.get((others.len().max(1) - 1) / 2).copied().unwrap_or(0.0)
-                {
+                let build = self.hosts.build[h];
+                let mut all: Vec<f64> = self.ready_with(build).map(|o| self.hosts.errors[o]).collect();
+                all.sort_by(f64::total_cmp);
+                if self.hosts.errors[h] > 0.25 + 2.0 * all.get((all.len().max(1) - 1) / 2).unwrap_or(&0.0) {
                     self.strike(h, SECOND);
                 }
             }
@@ -794,7 +777,8 @@
             self.seen_in_stage += 1;
             self.add(h, op, failed - self.old_fails[op] - FAIL_MARGIN);
             if known {
-                self.add(h, self.ops.len(), LATE_WEIGHT * (late - self.old_lag.max(0.0) - LATE_MARGIN));
+                let excused = self.old_lag.max(self.by_load());
+                self.add(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
             }
             return;
         }
@@ -812,8 +796,8 @@
     /// harm by a few more failures before a build goes back that fails rarely and on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
-        let most =
-            SEND_BACK_AT / [0.5, 0.5, 1.5].get(peers).map_or((0.4 * peers as f64).max(2.0), |few| *few);
+        let voices = [0.5, 0.5, 1.5].get(peers).copied().unwrap_or((0.4 * peers as f64).max(2.0));
+        let most = SEND_BACK_AT / voices;
         let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
         self.hosts.blame[h] = (self.hosts.blame[h] + gain).max(0.0);
         self.sums[which] = (self.sums[which] + gain).max(0.0);
@@ -828,21 +812,29 @@
         late.iter().copied().fold(fails.iter().sum(), f64::max)
     }
 
-    /// Traffic taken for each whole host's worth of fit capacity.
-    fn load(&self) -> f64 {
+    /// Commands asked and answered of late for each whole host's worth of fit capacity.
+    fn load(&self) -> [f64; 2] {
         let able: f64 = self.ready().filter(|&h| self.fit(h)).map(|h| self.warmth(h)).sum();
-        self.taken.len() as f64 / able.max(1.0)
+        // The fading counts of a young router have not filled up yet.
+        let filled = 1.0 - (-(self.now - self.born) as f64 / (4 * SECOND) as f64).exp();
+        self.flow.map(|f| f / filled.max(0.1) / able.max(1.0))
+    }
+
+    /// The slowness that comes of more load than before the trial. What is asked may have grown by the retries that
+    /// slowness brings, so it excuses less than what was answered.
+    fn by_load(&self) -> f64 {
+        let grown = |n: usize| (self.load()[n] / self.usual_load[n].max(1e-9)).ln();
+        let slower = (2.0 * grown(0)).min(1.0).max(3.0 * grown(1)).clamp(0.0, 1.5);
+        slower * f64::from(u8::from(self.usual_load[1] > 0.0))
     }
 
     /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: while one is
     /// on trial every answer counts against the time before it, less what the traffic explains. Host troubles strike
     /// some hosts and not most; it could harm where something else slows the whole fleet during a trial.
     fn judge_shared(&mut self, late: f64) {
-        if self.news.is_some_and(|n| n.standing == Standing::OnTrial)
-            && self.seen > 0
-            && self.usual_load > 0.0
-        {
-            let by_load = (2.0 * (self.load() / self.usual_load).ln()).clamp(0.0, 0.5);
+        let on_trial = self.news.is_some_and(|n| n.standing == Standing::OnTrial) && self.seen > 0;
+        if on_trial && self.usual_load[1] > 0.0 {
+            let by_load = self.by_load();
             let sum = self.sums.last_mut().expect("made at start");
             *sum = (*sum + LATE_WEIGHT * (late.min(1.5) - by_load - LATE_MARGIN)).max(0.0);
         }
@@ -862,16 +854,14 @@
         if let [1, b1, b0, s1, s0, n1, n0] = *text {
             let [build, sum, seen] = [[b1, b0], [s1, s0], [n1, n0]].map(u16::from_be_bytes);
             let (build, sum, seen) = (BuildId(build), f64::from(sum) / 100.0, u32::from(seen));
-            if sender != self.own_index {
-                self.peers.insert(sender, PeerView { at: self.now, build, sum, seen });
-            }
+            self.peers.insert(sender, (self.now, build, sum, seen));
         }
     }
 
     /// What the fleet knows of the build: own sum and those that peers have told of lately.
     fn pooled(&self, build: BuildId) -> (f64, u32) {
-        let fresh = self.peers.values().filter(|p| p.build == build && self.now - p.at < 3 * SECOND);
-        fresh.fold((self.sum(), self.seen), |(sum, seen), p| (sum + p.sum, seen + p.seen))
+        let fresh = self.peers.values().filter(|p| p.1 == build && self.now - p.0 < 3 * SECOND);
+        fresh.fold((self.sum(), self.seen), |(sum, seen), p| (sum + p.2, seen + p.3))
     }
 
     fn verdict(&self) -> Option<(BuildId, u8, Verdict)> {
@@ -939,11 +929,12 @@
         let fade = (-(self.now - self.beaten) as f64 / SECOND as f64).exp();
         self.ops.iter_mut().for_each(|o| o.acks *= fade);
         self.served.iter_mut().for_each(|s| *s *= fade);
+        self.flow = self.flow.map(|f| f * fade.powf(0.25));
         self.grow_lane();
         self.forget_window();
-        if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now > self.full_from {
-            let pace = if self.usual_load > 0.0 { 0.01 } else { 1.0 };
-            self.usual_load += pace * (self.load() - self.usual_load);
+        if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now > self.born + 2 * SECOND {
+            let (pace, load) = (if self.usual_load[1] > 0.0 { 0.01 } else { 1.0 }, self.load());
+            self.usual_load.iter_mut().zip(load).for_each(|(usual, load)| *usual += pace * (load - *usual));
         }
         self.beaten = self.now;
         self.place_held(out);
