--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -1,11 +1,13 @@
 //! The decision module: one `Router` a process, told what happens by calls, answering through `Egress`.
 //!
-//! How to call it: `Router::new` with the deployment's terms, then `at` with the time and one method for each
-//! thing that happens (`listed`, `told`, `command`, `delivery_ended`, `woken`, ...), in order. It acts by calls on
-//! the `Egress` given along (`egress.rs`); terms, ids and news are plain types (`terms.rs`, `ids.rs`).
+//! How to call it: `Router::new` with the deployment's terms, then `at` with the time and one method for
+//! each thing that happens (`listed`, `told`, `command`, `delivery_ended`, `woken`, ...), in order. It
+//! acts by calls on the `Egress` given along (`egress.rs`); terms, ids and news are plain types
+//! (`terms.rs`, `ids.rs`).
 //!
-//! A command runs the chain intake, lane, exposure, placement, dispatch; what comes back runs through settle,
-//! health and the judge. `docs/design.md` tells what was kept of the design and what was added, and why.
+//! A command runs the chain intake, lane, exposure, placement, dispatch; what comes back runs through
+//! settle, health and the judge. `docs/design.md` tells what was kept of the design and what was added,
+//! and why.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -39,11 +41,11 @@
 const LATE_WEIGHT: f64 = 0.4;
 /// Answers that a router needs from a build before it votes on it.
 const ENOUGH_ANSWERS: u32 = 3;
-/// Share of the commands that may be delivered again at a guess (no answer yet, or an error), and the most saved up.
+/// Share of the commands that may be delivered again at a guess, and the most saved up.
 const SPARE_PER_COMMAND: f64 = 0.1;
 const SPARE_AT_MOST: f64 = 10.0;
-/// Parts of the service target: spent at hosts where they are crowded, waited for a place, waited before a second
-/// delivery where the host looks sick, and where it does not.
+/// Parts of the service target: at hosts before they are crowded, waiting for a place, waiting before a
+/// second delivery where the host looks sick, and where it does not.
 const CROWDED_PART: f64 = 0.4;
 const HOLD_PART: f64 = 0.3;
 const DOUBT_PART: f64 = 0.35;
@@ -54,7 +56,8 @@
     scope: RepeatScope,
     memory: Micros,
     target: f64,
-    /// Mean logarithm of the time to an answer and how many it rests on; learned only while none is on trial.
+    /// Mean logarithm of the time to an answer and how many it rests on; learned only while none is on
+    /// trial.
     usual: f64,
     usual_seen: u32,
     /// Acks of the last second or so, fading.
@@ -130,7 +133,7 @@
     spare: f64,
     beaten: Micros,
     swept: Micros,
-    // The judge and its vote. One sum for the failures of each op type, one for the build's
+    // One sum for the failures of each op type, one for the build's
     // slowness, and the last for slowness that all hosts share.
     sums: Vec<f64>,
     old_fails: Vec<f64>,
@@ -219,7 +222,8 @@
             by_op: terms.exposure_by_op,
             guarded_stages: terms.guarded_stages,
             one_way: terms.forward_only,
-            // The desk's clock starts about a second after the machines run; a vote before that stands idle.
+            // The desk's clock starts about a second after the machines run; a vote before that stands
+            // idle.
             go_wait: terms.stage_bake + SECOND,
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
@@ -234,7 +238,7 @@
         self
     }
 
-    // ---- The list -------------------------------------------------------------------------------------------
+    // ---- The list ----
 
     pub fn listed(&mut self, kind: ListKind, lines: &[HostLine], out: Out) {
         if kind != ListKind::Remembered {
@@ -257,7 +261,8 @@
     }
 
     pub fn list_failed(&mut self) {
-        // The notice does not say whether a subscription still stands: asking again is the only safe reading.
+        // The notice does not say whether a subscription still stands: asking again is the only safe
+        // reading.
         self.ask_list_at =
             Some(self.now + self.ask_pause + self.chance.below(self.ask_pause as usize / 2) as Micros);
         self.ask_pause = (self.ask_pause * 2).min(4 * SECOND);
@@ -271,7 +276,7 @@
         self.ready().filter(move |&h| self.hosts.build[h] == build)
     }
 
-    // ---- The desk's news ------------------------------------------------------------------------------------
+    // ---- The desk's news ----
 
     pub fn told(&mut self, news: StageNews, out: Out) {
         let before = self.news.replace(news);
@@ -288,7 +293,8 @@
             self.vote_again_at = self.now;
         }
         if self.sent_back(news.build) {
-            // A send-back returns keys to the earlier build, and opens the way that one-way rules had closed.
+            // A send-back returns keys to the earlier build, and opens the way that one-way rules had
+            // closed.
             self.pins.retain(|_, pin| {
                 pin.answered_by = pin.answered_by.filter(|b| *b != news.build);
                 pin.build != news.build
@@ -328,7 +334,7 @@
         self.news.is_some_and(|n| n.build == build && back(n.standing))
     }
 
-    // ---- Intake ---------------------------------------------------------------------------------------------
+    // ---- Intake ----
 
     pub fn command(&mut self, cmd: CommandId, op: OpType, share: ShareId, key: Key, left: Micros, out: Out) {
         let op = usize::from(op.0);
@@ -380,8 +386,8 @@
         false
     }
 
-    /// Those that wait go by what their customer has had of its share, so that where not all can be served the
-    /// ones far beyond their share wait in vain. Without shares they go in turn.
+    /// Those that wait go by what their customer has had of its share, so that where not all can be served
+    /// the ones far beyond their share wait in vain. Without shares they go in turn.
     fn place_held(&mut self, out: Out) {
         let mut held = std::mem::take(&mut self.held);
         let had =
@@ -392,9 +398,10 @@
         }
     }
 
-    // ---- Lane -----------------------------------------------------------------------------------------------
+    // ---- Lane ----
 
-    /// The builds to try, best first. Pins keep a key at its build; the lane takes keys to the build on trial.
+    /// The builds to try, best first. Pins keep a key at its build; the lane takes keys to the build on
+    /// trial.
     fn choose_builds(&self, c: &Command, floor: Option<BuildId>) -> [Option<BuildId>; 2] {
         let (stable, trial) = self.candidates();
         let open = |b: &BuildId| floor.is_none_or(|f| *b >= f);
@@ -443,7 +450,8 @@
     }
 
     /// The lane grows towards its part of the cap, as far as the trial machines listed ready bear it, and
-    /// follows the machines where the earlier build is left with fewer than its keys need. It never shrinks.
+    /// follows the machines where the earlier build is left with fewer than its keys need. It never
+    /// shrinks.
     fn grow_lane(&mut self) {
         let spent = (self.now - self.beaten) as f64 / LANE_GROWS as f64;
         let (stable, Some(new)) = self.candidates() else { return };
@@ -458,7 +466,7 @@
         self.lane = self.lane.max(aim.min(self.lane + spent * aim.max(0.02))).min(cap);
     }
 
-    // ---- Exposure -------------------------------------------------------------------------------------------
+    // ---- Exposure ----
 
     fn slot(&self, op: usize) -> usize {
         op * usize::from(self.by_op)
@@ -490,7 +498,7 @@
         }
     }
 
-    // ---- Placement ------------------------------------------------------------------------------------------
+    // ---- Placement ----
 
     /// Two random choices among the fit hosts of a build, by fewest own commands in flight.
     fn place(&mut self, cmd: CommandId, build: BuildId) -> Option<usize> {
@@ -514,8 +522,8 @@
             .collect();
         let fit: Vec<usize> = untried.iter().copied().filter(|&h| self.fit(h)).collect();
         let proven: Vec<usize> = fit.iter().copied().filter(|&h| self.hosts.strikes[h] == 0).collect();
-        // What runs at most once is lost with a host that fails: it goes where answers come back. A host under
-        // suspicion is tried by a command that may be delivered again.
+        // What runs at most once is lost with a host that fails: it goes where answers come back. A host
+        // under suspicion is tried by a command that may be delivered again.
         let pool = if at_most_once && !proven.is_empty() || self.spare < 1.0 && proven.len() * 2 > fit.len() {
             proven
         } else if fit.len() * 3 >= untried.len() {
@@ -534,8 +542,9 @@
         Some(if weigh(b) < weigh(a) { b } else { a })
     }
 
-    /// Guards against piling up: no more is out than what lately came back within a part of the service target,
-    /// whatever slows the hosts. Under light load it never binds; it could harm where answers return after a gap.
+    /// Guards against piling up: no more is out than what lately came back within a part of the service
+    /// target, whatever slows the hosts. Under light load it never binds; it could harm where answers
+    /// return after a gap.
     fn crowded(&self) -> bool {
         let out: u32 = self.hosts.in_flight.iter().sum();
         let flow: f64 = self.ops.iter().map(|o| o.acks * o.target / SECOND as f64).sum();
@@ -562,7 +571,7 @@
         }
     }
 
-    // ---- Dispatch -------------------------------------------------------------------------------------------
+    // ---- Dispatch ----
 
     fn dispatch(&mut self, cmd: CommandId, host: usize, out: Out) {
         let (build, sent) = (self.hosts.build[host], self.now);
@@ -580,8 +589,8 @@
         out.deliver(cmd, self.hosts.id[host], None);
     }
 
-    /// A second delivery for a command whose first is slow, where the op type allows a repeat: beside the first
-    /// where copies may run together, else in its place, and then only if its host looks sick.
+    /// A second delivery for a command whose first is slow, where the op type allows a repeat: beside the
+    /// first where copies may run together, else in its place, and then only if its host looks sick.
     fn hurry(&mut self, out: Out) {
         let due = |c: &Command| {
             let d = c.deliveries.last().filter(|d| d.open && !d.started && !c.ended)?;
@@ -605,7 +614,7 @@
         }
     }
 
-    // ---- What comes back ------------------------------------------------------------------------------------
+    // ---- What comes back ----
 
     pub fn answer_started(&mut self, cmd: CommandId, nth: u8, out: Out) {
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
@@ -713,7 +722,7 @@
         }
     }
 
-    // ---- Health ---------------------------------------------------------------------------------------------
+    // ---- Health ----
 
     fn health(&mut self, h: usize, end: DeliveryEnd) {
         match end {
@@ -724,8 +733,9 @@
             }
             DeliveryEnd::Error => {
                 self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15;
-                // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the others of its
-                // build is set aside: a build that errs everywhere is the judge's, and must not hide as hosts.
+                // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the
+                // others of its build is set aside: a build that errs everywhere is the judge's, and must
+                // not hide as hosts.
                 let build = self.hosts.build[h];
                 let mut all: Vec<f64> = self.ready_with(build).map(|o| self.hosts.errors[o]).collect();
                 all.sort_by(f64::total_cmp);
@@ -750,15 +760,15 @@
         }
     }
 
-    // ---- The judge ------------------------------------------------------------------------------------------
+    // ---- The judge ----
 
     fn judge(&mut self, h: usize, op: usize, end: DeliveryEnd, took: Micros) {
         let build = self.hosts.build[h];
         let failed = match end {
             DeliveryEnd::Acked => 0.0,
             DeliveryEnd::Error => 1.0,
-            // One crash breaks all that was out at the host, one hang lets it all run out: that is one failure, and
-            // none where the host has answered nobody meanwhile.
+            // One crash breaks all that was out at the host, one hang lets it all run out: that is one
+            // failure, and none where the host has answered nobody meanwhile.
             DeliveryEnd::Reset if self.now >= self.hosts.shut_until[h] => 1.0,
             DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes[h] == 0 => 1.0,
             _ => return,
@@ -791,9 +801,10 @@
         }
     }
 
-    /// A build is convicted by two in five of its hosts, and by two at least where it has three: each may bring
-    /// only its part. Guards against hosts that crash, hang, err or crawl, one or a third of them at once; it could
-    /// harm by a few more failures before a build goes back that fails rarely and on many hosts.
+    /// A build is convicted by two in five of its hosts, and by two at least where it has three: each may
+    /// bring only its part. Guards against hosts that crash, hang, err or crawl, one or a third of them at
+    /// once; it could harm by a few more failures before a build goes back that fails rarely and on many
+    /// hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
         let voices = [0.5, 0.5, 1.5].get(peers).copied().unwrap_or((0.4 * peers as f64).max(2.0));
@@ -806,7 +817,8 @@
         }
     }
 
-    /// Failures add up over the op types; slowness is another proof of its own, and one answer counts in one only.
+    /// Failures add up over the op types; slowness is another proof of its own, and one answer counts in
+    /// one only.
     fn sum(&self) -> f64 {
         let (fails, late) = self.sums.split_at(self.ops.len());
         late.iter().copied().fold(fails.iter().sum(), f64::max)
@@ -820,17 +832,18 @@
         self.flow.map(|f| f / filled.max(0.1) / able.max(1.0))
     }
 
-    /// The slowness that comes of more load than before the trial. What is asked may have grown by the retries that
-    /// slowness brings, so it excuses less than what was answered.
+    /// The slowness that comes of more load than before the trial. What is asked may have grown by the
+    /// retries that slowness brings, so it excuses less than what was answered.
     fn by_load(&self) -> f64 {
         let grown = |n: usize| (self.load()[n] / self.usual_load[n].max(1e-9)).ln();
         let slower = (2.0 * grown(0)).min(1.0).max(3.0 * grown(1)).clamp(0.0, 1.5);
         slower * f64::from(u8::from(self.usual_load[1] > 0.0))
     }
 
-    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: while one is
-    /// on trial every answer counts against the time before it, less what the traffic explains. Host troubles strike
-    /// some hosts and not most; it could harm where something else slows the whole fleet during a trial.
+    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison:
+    /// while one is on trial every answer counts against the time before it, less what the traffic
+    /// explains. Host troubles strike some hosts and not most; it could harm where something else slows
+    /// the whole fleet during a trial.
     fn judge_shared(&mut self, late: f64) {
         let on_trial = self.news.is_some_and(|n| n.standing == Standing::OnTrial) && self.seen > 0;
         if on_trial && self.usual_load[1] > 0.0 {
@@ -883,11 +896,8 @@
         let latest = self.ready_with(news.build).filter_map(|h| self.hosts.started[h]).max().unwrap_or(0);
         let share = self.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
         let complete = count > 0 && count as f64 >= (share * self.ready().count() as f64).floor();
-        let from = match complete {
-            _ if latest > self.stage_began => latest,
-            true => self.stage_began,
-            false => self.stage_began + 8 * SECOND,
-        };
+        let unlisted = Micros::from(!complete && latest <= self.stage_began);
+        let from = latest.max(self.stage_began) + unlisted * 8 * SECOND;
         let known =
             self.seen_in_stage >= ENOUGH_ANSWERS || (self.gate == Gate::Majority && seen >= ENOUGH_ANSWERS);
         let waited = self.now - from;
@@ -918,7 +928,7 @@
         }
     }
 
-    // ---- The beat -------------------------------------------------------------------------------------------
+    // ---- The beat ----
 
     pub fn woken(&mut self, out: Out) {
         self.beat(out);
--- a/crates/spokeflow-core/tests/common/mod.rs
+++ b/crates/spokeflow-core/tests/common/mod.rs
@@ -1,5 +1,5 @@
-//! The one helper of the tests: terms to start from, and a ledger that carries out what the module asks and checks
-//! the five rules at each call.
+//! The one helper of the tests: terms to start from, and a ledger that carries out what the module asks and
+//! checks the five rules at each call.
 
 use std::collections::BTreeMap;
 
--- a/crates/spokeflow-core/tests/rules.rs
+++ b/crates/spokeflow-core/tests/rules.rs
@@ -1,4 +1,4 @@
-//! Random runs from a fixed seed: the ledger checks the five rules after every step, in all gate modes and effects.
+//! Random runs from a fixed seed: the ledger checks the five rules after each step, all gates and effects.
 
 mod common;
 
@@ -25,7 +25,7 @@
     use DeliveryEnd::*;
     prop_oneof![
         8 => Just(Acked),
-        3 => prop_oneof![Just(Error), Just(Full), Just(TimedOut), Just(NotConnected), Just(Reset), Just(Cancelled)],
+        3 => proptest::sample::select(vec![Error, Full, TimedOut, NotConnected, Reset, Cancelled]),
     ]
 }
 
@@ -44,11 +44,13 @@
         Just(VoteAnswer::Silence),
     ];
     let step = prop_oneof![
-        30 => (0..4usize, 0..40u64, 30 * MS..2 * SECOND).prop_map(|(op, key, left)| Step::Command { op, key, left }),
+        30 => (0..4usize, 0..40u64, 30 * MS..2 * SECOND)
+            .prop_map(|(op, key, left)| Step::Command { op, key, left }),
         30 => (0..64usize, ends()).prop_map(|(pick, end)| Step::End { pick, end }),
         20 => (MS..120 * MS).prop_map(Step::Pass),
         2 => (SECOND..6 * SECOND).prop_map(Step::Pass),
-        6 => (0..10u32, 7..9u16, phase, any::<bool>(), 0..20u8).prop_map(|(host, build, phase, fresh, whole)| {
+        6 => (0..10u32, 7..9u16, phase, any::<bool>(), 0..20u8)
+            .prop_map(|(host, build, phase, fresh, whole)| {
             Step::List { host, build, phase, fresh, whole: whole == 0 }
         }),
         1 => Just(Step::ListFails),
--- a/crates/spokeflow-wirehost/src/main.rs
+++ b/crates/spokeflow-wirehost/src/main.rs
@@ -193,7 +193,7 @@
                 f.u16()?;
                 router.disputed(host, since);
             }
-            // Probes are not asked for, sums of the desk not used, and codes of a later wire not known: passed over.
+            // Probes are not asked for, the sums of the desk not used, codes of a later wire not known.
             _ => {}
         }
         Ok(())
