Count what is sent to a cold host, not what is in flight

Covers resets and refusals as well; harms a cold host whose first commands fail, which stays nearly unused until it is warm.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -1,13 +1,12 @@
 //! The decision module: one `Router` a process, told what happens by calls, answering through `Egress`.
 //!
-//! How to call it: `Router::new` with the deployment's terms, then `at` with the time and one method for
-//! each thing that happens (`listed`, `told`, `command`, `delivery_ended`, `woken`, ...), in order. It
-//! acts by calls on the `Egress` given along (`egress.rs`); terms, ids and news are plain types
-//! (`terms.rs`, `ids.rs`).
+//! How to call it: `Router::new` with the deployment's terms, then `at` with the time and one method for each
+//! thing that happens (`listed`, `told`, `command`, `delivery_ended`, `woken`, ...), in order. It acts by
+//! calls on the `Egress` given along (`egress.rs`); terms, ids and news are plain types (`terms.rs`,
+//! `ids.rs`).
 //!
-//! A command runs the chain intake, lane, exposure, placement, dispatch; what comes back runs through
-//! settle, health and the judge. `docs/design.md` tells what was kept of the design and what was added,
-//! and why.
+//! A command runs the chain intake, lane, exposure, placement, dispatch; what comes back runs through settle,
+//! health and the judge. `docs/design.md` tells what was kept of the design and what was added, and why.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -56,8 +55,7 @@
     scope: RepeatScope,
     memory: Micros,
     target: f64,
-    /// Mean logarithm of the time to an answer and how many it rests on; learned only while none is on
-    /// trial.
+    /// Mean logarithm of the time to an answer and how many it rests on; learned only while none is on trial.
     usual: f64,
     usual_seen: u32,
     /// Acks of the last second or so, fading.
@@ -102,6 +100,8 @@
     phase: Vec<HostPhase>,
     started: Vec<Option<Micros>>,
     in_flight: Vec<u32>,
+    /// Sent to and acked by the present process.
+    sent: Vec<u32>,
     answers: Vec<u32>,
     strikes: Vec<u32>,
     shut_until: Vec<Micros>,
@@ -133,8 +133,8 @@
     spare: f64,
     beaten: Micros,
     swept: Micros,
-    // One sum for the failures of each op type, one for the build's
-    // slowness, and the last for slowness that all hosts share.
+    // One sum for the failures of each op type, one for the build's slowness, and the last for slowness that
+    // all hosts share.
     sums: Vec<f64>,
     old_fails: Vec<f64>,
     usual_load: [f64; 2],
@@ -145,7 +145,6 @@
     old_lag: f64,
     /// When each peer last told of which build, its sum and the answers it rests on.
     peers: BTreeMap<u32, (Micros, BuildId, f64, u32)>,
-    told_peers: Micros,
     vote: Option<(BuildId, u8, Verdict)>,
     vote_stands_until: Micros,
     vote_again_at: Micros,
@@ -222,8 +221,7 @@
             by_op: terms.exposure_by_op,
             guarded_stages: terms.guarded_stages,
             one_way: terms.forward_only,
-            // The desk's clock starts about a second after the machines run; a vote before that stands
-            // idle.
+            // The desk's clock starts about a second after the machines run; a vote before that stands idle.
             go_wait: terms.stage_bake + SECOND,
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
@@ -261,8 +259,7 @@
     }
 
     pub fn list_failed(&mut self) {
-        // The notice does not say whether a subscription still stands: asking again is the only safe
-        // reading.
+        // The notice does not say whether a subscription still stands: asking again is the only safe reading.
         self.ask_list_at =
             Some(self.now + self.ask_pause + self.chance.below(self.ask_pause as usize / 2) as Micros);
         self.ask_pause = (self.ask_pause * 2).min(4 * SECOND);
@@ -293,8 +290,7 @@
             self.vote_again_at = self.now;
         }
         if self.sent_back(news.build) {
-            // A send-back returns keys to the earlier build, and opens the way that one-way rules had
-            // closed.
+            // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
             self.pins.retain(|_, pin| {
                 pin.answered_by = pin.answered_by.filter(|b| *b != news.build);
                 pin.build != news.build
@@ -450,8 +446,7 @@
     }
 
     /// The lane grows towards its part of the cap, as far as the trial machines listed ready bear it, and
-    /// follows the machines where the earlier build is left with fewer than its keys need. It never
-    /// shrinks.
+    /// follows the machines where the earlier build is left with fewer than its keys need. It never shrinks.
     fn grow_lane(&mut self) {
         let spent = (self.now - self.beaten) as f64 / LANE_GROWS as f64;
         let (stable, Some(new)) = self.candidates() else { return };
@@ -517,7 +512,7 @@
         };
         let untried: Vec<usize> = self
             .ready_with(build)
-            .filter(|&h| drops_repeats(h) && self.hosts.in_flight[h] < self.in_flight_cap(h))
+            .filter(|&h| drops_repeats(h) && self.may_take(h))
             .filter(|&h| c.deliveries.iter().all(|d| d.host != h))
             .collect();
         let fit: Vec<usize> = untried.iter().copied().filter(|&h| self.fit(h)).collect();
@@ -543,8 +538,8 @@
     }
 
     /// Guards against piling up: no more is out than what lately came back within a part of the service
-    /// target, whatever slows the hosts. Under light load it never binds; it could harm where answers
-    /// return after a gap.
+    /// target, whatever slows the hosts. Under light load it never binds; it could harm where answers return
+    /// after a gap.
     fn crowded(&self) -> bool {
         let out: u32 = self.hosts.in_flight.iter().sum();
         let flow: f64 = self.ops.iter().map(|o| o.acks * o.target / SECOND as f64).sum();
@@ -562,13 +557,14 @@
         self.hosts.in_flight[h] > 0 && self.now - self.hosts.mute_since[h] > (6 * usual).max(600 * MS)
     }
 
-    /// A fresh host, and one that has failed, may hold little at first and more with each answer.
-    fn in_flight_cap(&self, h: usize) -> u32 {
-        match self.hosts.started[h] {
-            _ if self.hosts.strikes[h] > 0 => 1,
-            Some(at) if self.now - at < self.warm_within + SECOND => 2 + self.hosts.answers[h] / 2,
-            _ => u32::MAX,
-        }
+    /// A fresh host gets little at first and more with each ack; one that has failed gets one at a time. What
+    /// is sent counts, not what is in flight: a cold host that errs fast would else be sent any number and
+    /// fall over.
+    fn may_take(&self, h: usize) -> bool {
+        let (acks, age) = (self.hosts.answers[h], self.now - self.hosts.started[h].unwrap_or(0));
+        let cold = self.hosts.started[h].is_some() && age < self.warm_within + SECOND;
+        let earned = 2 + acks + acks / 2 + (age / SECOND).clamp(0, 60) as u32;
+        (!cold || self.hosts.sent[h] < earned) && (self.hosts.strikes[h] == 0 || self.hosts.in_flight[h] == 0)
     }
 
     // ---- Dispatch ----
@@ -585,6 +581,7 @@
             self.hosts.mute_since[host] = sent;
         }
         self.hosts.in_flight[host] += 1;
+        self.hosts.sent[host] = self.hosts.sent[host].saturating_add(1);
         self.served[c.share] += 1.0;
         out.deliver(cmd, self.hosts.id[host], None);
     }
@@ -593,15 +590,15 @@
     /// first where copies may run together, else in its place, and then only if its host looks sick.
     fn hurry(&mut self, out: Out) {
         let due = |c: &Command| {
-            let d = c.deliveries.last().filter(|d| d.open && !d.started && !c.ended)?;
+            let Some(d) = c.deliveries.last().filter(|d| d.open && !d.started && !c.ended) else {
+                return false;
+            };
             let doubt = self.mute(d.host) || self.hosts.lag[d.host] > 0.7;
             let part = if doubt { DOUBT_PART } else { PATIENCE_PART };
             let slow = (self.now - d.sent) as f64 > self.ops[c.op].target * part;
-            (slow && (doubt || self.side_by_side) && self.may_redeliver(c) && c.until - self.now > 4 * BEAT)
-                .then_some(())
+            slow && (doubt || self.side_by_side) && self.may_redeliver(c) && c.until - self.now > 4 * BEAT
         };
-        let due: Vec<CommandId> =
-            self.cmds.iter().filter(|(_, c)| due(c).is_some()).map(|(id, _)| *id).collect();
+        let due: Vec<CommandId> = self.cmds.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
         for cmd in due {
             if self.spare < 1.0 {
                 return;
@@ -626,10 +623,6 @@
         }
     }
 
-    pub fn client_left(&mut self, cmd: CommandId, out: Out) {
-        self.end(cmd, out);
-    }
-
     pub fn delivery_ended(
         &mut self,
         cmd: CommandId,
@@ -709,7 +702,8 @@
         self.end(cmd, out);
     }
 
-    fn end(&mut self, cmd: CommandId, out: Out) {
+    /// Ends a command that is answered, or that its client has left.
+    pub fn end(&mut self, cmd: CommandId, out: Out) {
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
         if !c.ended && self.may_cancel {
             for (n, _) in c.deliveries.iter().enumerate().filter(|(_, d)| d.open && !d.started) {
@@ -733,9 +727,9 @@
             }
             DeliveryEnd::Error => {
                 self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15;
-                // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the
-                // others of its build is set aside: a build that errs everywhere is the judge's, and must
-                // not hide as hosts.
+                // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the others
+                // of its build is set aside: a build that errs everywhere is the judge's, and must not hide
+                // as hosts.
                 let build = self.hosts.build[h];
                 let mut all: Vec<f64> = self.ready_with(build).map(|o| self.hosts.errors[o]).collect();
                 all.sort_by(f64::total_cmp);
@@ -767,8 +761,8 @@
         let failed = match end {
             DeliveryEnd::Acked => 0.0,
             DeliveryEnd::Error => 1.0,
-            // One crash breaks all that was out at the host, one hang lets it all run out: that is one
-            // failure, and none where the host has answered nobody meanwhile.
+            // One crash breaks all that was out at the host: that is one failure; a time-out is none where
+            // the host has answered nobody meanwhile.
             DeliveryEnd::Reset if self.now >= self.hosts.shut_until[h] => 1.0,
             DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes[h] == 0 => 1.0,
             _ => return,
@@ -817,8 +811,8 @@
         }
     }
 
-    /// Failures add up over the op types; slowness is another proof of its own, and one answer counts in
-    /// one only.
+    /// Failures add up over the op types; slowness is another proof of its own, and one answer counts in one
+    /// only.
     fn sum(&self) -> f64 {
         let (fails, late) = self.sums.split_at(self.ops.len());
         late.iter().copied().fold(fails.iter().sum(), f64::max)
@@ -840,16 +834,16 @@
         slower * f64::from(u8::from(self.usual_load[1] > 0.0))
     }
 
-    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison:
-    /// while one is on trial every answer counts against the time before it, less what the traffic
-    /// explains. Host troubles strike some hosts and not most; it could harm where something else slows
-    /// the whole fleet during a trial.
+    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: while
+    /// one is on trial every answer counts against the time before it, less what the traffic explains. Host
+    /// troubles strike some hosts and not most; it could harm where something else slows the whole fleet
+    /// during a trial.
     fn judge_shared(&mut self, late: f64) {
         let on_trial = self.news.is_some_and(|n| n.standing == Standing::OnTrial) && self.seen > 0;
         if on_trial && self.usual_load[1] > 0.0 {
-            let by_load = self.by_load();
+            let gain = LATE_WEIGHT * (late.min(1.5) - self.by_load() - LATE_MARGIN);
             let sum = self.sums.last_mut().expect("made at start");
-            *sum = (*sum + LATE_WEIGHT * (late.min(1.5) - by_load - LATE_MARGIN)).max(0.0);
+            *sum = (*sum + gain).max(0.0);
         }
     }
 
@@ -871,19 +865,22 @@
         }
     }
 
-    /// What the fleet knows of the build: own sum and those that peers have told of lately.
-    fn pooled(&self, build: BuildId) -> (f64, u32) {
+    /// What the fleet knows of the build: all sums, the answers they rest on and the greatest sum. One sick
+    /// host raises every router's sum a little; only a router that is convinced itself can carry the others
+    /// along.
+    fn pooled(&self, build: BuildId) -> (f64, u32, f64) {
         let fresh = self.peers.values().filter(|p| p.1 == build && self.now - p.0 < 3 * SECOND);
-        fresh.fold((self.sum(), self.seen), |(sum, seen), p| (sum + p.2, seen + p.3))
+        let own = (self.sum(), self.seen, self.sum());
+        fresh.fold(own, |(sum, seen, top), p| (sum + p.2, seen + p.3, top.max(p.2)))
     }
 
     fn verdict(&self) -> Option<(BuildId, u8, Verdict)> {
         let news = self.news.filter(|n| matches!(n.standing, Standing::OnTrial | Standing::Released))?;
-        let (sum, seen) = self.pooled(news.build);
+        let (sum, seen, top) = self.pooled(news.build);
         let on_trial = news.standing == Standing::OnTrial;
         // Once released, going back means a cold start of the whole fleet: it wants twice the proof.
         let proof = SEND_BACK_AT * if on_trial { 1.0 } else { 2.0 };
-        if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || sum >= 2.0 * proof {
+        if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || sum >= 1.5 * proof && top >= proof {
             return Some((news.build, news.stage, Verdict::Back));
         }
         if !on_trial {
@@ -954,18 +951,16 @@
             self.ask_list_at = Some(self.now + 5 * SECOND);
             out.watch_list();
         }
-        if let Some(news) = self.news.filter(|_| self.may_tell && self.seen > 0) {
-            if self.now - self.told_peers >= SECOND / 2 {
-                self.told_peers = self.now;
-                let figures = [news.build.0, (self.sum() * 100.0) as u16, self.seen.min(65_535) as u16];
-                let [[b1, b0], [s1, s0], [n1, n0]] = figures.map(u16::to_be_bytes);
-                out.tell_all(&[1, b1, b0, s1, s0, n1, n0]);
-            }
+        if self.now - self.swept < SECOND / 2 {
+            return;
         }
-        if self.now - self.swept >= SECOND {
-            self.swept = self.now;
-            let (now, one_way) = (self.now, self.one_way);
-            self.pins.retain(|_, p| now - p.used < PIN_IDLE || one_way && p.answered_by.is_some());
+        self.swept = self.now;
+        let (now, one_way) = (self.now, self.one_way);
+        self.pins.retain(|_, p| now - p.used < PIN_IDLE || one_way && p.answered_by.is_some());
+        if let Some(news) = self.news.filter(|_| self.may_tell && self.seen > 0) {
+            let figures = [news.build.0, (self.sum() * 100.0) as u16, self.seen.min(65_535) as u16];
+            let [[b1, b0], [s1, s0], [n1, n0]] = figures.map(u16::to_be_bytes);
+            out.tell_all(&[1, b1, b0, s1, s0, n1, n0]);
         }
     }
 }
@@ -993,7 +988,9 @@
         self.zone.push(line.zone);
         self.phase.push(line.phase);
         self.started.push(line.started);
-        [&mut self.in_flight, &mut self.answers, &mut self.strikes].into_iter().for_each(|v| v.push(0));
+        [&mut self.in_flight, &mut self.sent, &mut self.answers, &mut self.strikes]
+            .into_iter()
+            .for_each(|v| v.push(0));
         [&mut self.shut_until, &mut self.mute_since].into_iter().for_each(|v| v.push(Micros::MIN));
         [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v.push(0.0));
         self.id.len() - 1
@@ -1006,7 +1003,7 @@
             self.build_before[h] = self.build[h];
             self.build[h] = build;
             self.started[h] = line.started;
-            [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
+            [&mut self.sent, &mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
             [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
             self.shut_until[h] = Micros::MIN;
         }
--- a/crates/spokeflow-wirehost/src/main.rs
+++ b/crates/spokeflow-wirehost/src/main.rs
@@ -153,7 +153,7 @@
                 f.load()?;
                 router.delivery_ended(cmd, delivery, end, latency, finished, out);
             }
-            5 => router.client_left(CommandId(f.u32()?), out),
+            5 => router.end(CommandId(f.u32()?), out),
             6 => {
                 f.u32()?;
                 router.woken(out);
