--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -830,7 +830,7 @@
     /// retries that slowness brings, so it excuses less than what was answered.
     fn by_load(&self) -> f64 {
         let grown = |n: usize| (self.load()[n] / self.usual_load[n].max(1e-9)).ln();
-        let slower = (2.0 * grown(0)).min(1.0).max(3.0 * grown(1)).clamp(0.0, 1.5);
+        let slower = (1.5 * grown(0)).min(1.0).max(1.5 * grown(1)).clamp(0.0, 1.5);
         slower * f64::from(u8::from(self.usual_load[1] > 0.0))
     }
 
