Judge shared slowness after the release too, against double proof

Cause: a build that slows all hosts weakly is plain only when it has all the traffic. Covers fleet-wide slowdowns that come with full traffic; harms where the fleet slows for another reason then.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -834,13 +834,12 @@
         slower * f64::from(u8::from(self.usual_load[1] > 0.0))
     }
 
-    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: while
-    /// one is on trial every answer counts against the time before it, less what the traffic explains. Host
-    /// troubles strike some hosts and not most; it could harm where something else slows the whole fleet
-    /// during a trial.
+    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: from its trial
+    /// on, every answer counts against the time before it, less what the traffic explains. Host troubles strike
+    /// some hosts and not most; it could harm where something else slows the whole fleet meanwhile.
     fn judge_shared(&mut self, late: f64) {
-        let on_trial = self.news.is_some_and(|n| n.standing == Standing::OnTrial) && self.seen > 0;
-        if on_trial && self.usual_load[1] > 0.0 {
+        let judged = self.news.is_some_and(|n| !self.sent_back(n.build)) && self.seen > 0;
+        if judged && self.usual_load[1] > 0.0 {
             let gain = LATE_WEIGHT * (late.min(1.5) - self.by_load() - LATE_MARGIN);
             let sum = self.sums.last_mut().expect("made at start");
             *sum = (*sum + gain).max(0.0);
