--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -2,8 +2,7 @@
 //!
 //! How to call it: `Router::new` with the deployment's terms, then `at` with the time and one method for each
 //! thing that happens (`listed`, `told`, `command`, `delivery_ended`, `woken`, ...), in order. It acts by
-//! calls on the `Egress` given along (`egress.rs`); terms, ids and news are plain types (`terms.rs`,
-//! `ids.rs`).
+//! calls on the `Egress` given along (`egress.rs`); terms and ids are plain types (`terms.rs`, `ids.rs`).
 //!
 //! A command runs the chain intake, lane, exposure, placement, dispatch; what comes back runs through settle,
 //! health and the judge. `docs/design.md` tells what was kept of the design and what was added, and why.
@@ -30,6 +29,8 @@
 const PIN_IDLE: Micros = 10 * SECOND;
 /// Taken off each judged delivery beside the earlier build's failure rate.
 const FAIL_MARGIN: f64 = 0.02;
+/// Taken off the reports of wrong answers for each judged delivery: now and then a right one is reported.
+const WRONG_MARGIN: f64 = 0.01;
 const SEND_BACK_AT: f64 = 4.0;
 const HOLD_AT: f64 = 2.0;
 /// A build is quiet below this.
@@ -133,8 +134,7 @@
     spare: f64,
     beaten: Micros,
     swept: Micros,
-    // One sum for the failures of each op type, one for the build's slowness, and the last for slowness that
-    // all hosts share.
+    // Sums: failures of each op type, own slowness, reported wrong answers, slowness that all hosts share.
     sums: Vec<f64>,
     old_fails: Vec<f64>,
     usual_load: [f64; 2],
@@ -196,7 +196,7 @@
             ops: ops.collect(),
             served: vec![0.0; terms.shares.len().max(1)],
             shares: if terms.shares.is_empty() { vec![1.0] } else { terms.shares.clone() },
-            sums: vec![0.0; terms.ops.len() + 2],
+            sums: vec![0.0; terms.ops.len() + 3],
             old_fails: vec![0.0; terms.ops.len()],
             chance: Chance::new(seed),
             stage_began: now,
@@ -225,7 +225,7 @@
             go_wait: terms.stage_bake + SECOND,
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
-            complaint_weight: (0.3 / terms.complaint_share.max(0.05)).clamp(1.0, 2.0),
+            complaint_weight: (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5),
             ..Router::default()
         }
     }
@@ -779,6 +779,8 @@
         if newest && self.hosts.build.iter().any(|b| *b < build) {
             self.seen += 1;
             self.seen_in_stage += 1;
+            let wrong = &mut self.sums[self.ops.len() + 1];
+            *wrong = (*wrong - WRONG_MARGIN).max(0.0);
             self.add(h, op, failed - self.old_fails[op] - FAIL_MARGIN);
             if known {
                 let excused = self.old_lag.max(self.by_load());
@@ -834,8 +836,8 @@
         slower * f64::from(u8::from(self.usual_load[1] > 0.0))
     }
 
-    /// Guards against a build that slows the earlier build's hosts too, and so spoils the comparison: from its trial
-    /// on, every answer counts against the time before it, less what the traffic explains. Host troubles strike
+    /// Guards against a build that slows the earlier hosts too, and so spoils the comparison: from its trial
+    /// on, every answer counts against the time before, less what the traffic explains. Host troubles strike
     /// some hosts and not most; it could harm where something else slows the whole fleet meanwhile.
     fn judge_shared(&mut self, late: f64) {
         let judged = self.news.is_some_and(|n| !self.sent_back(n.build)) && self.seen > 0;
@@ -852,7 +854,8 @@
         let before = self.hosts.started[h].is_some_and(|at| self.now - since < at);
         let build = if before { self.hosts.build_before[h] } else { self.hosts.build[h] };
         if self.news.is_some_and(|n| build >= n.build) && !self.sent_back(build) {
-            self.add(h, 0, self.complaint_weight);
+            // Reports are few, and the many good answers between them must not wash them out.
+            self.sums[self.ops.len() + 1] += self.complaint_weight;
         }
     }
 
