--- a/crates/spokeflow-core/tests/common/mod.rs
+++ b/crates/spokeflow-core/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! The one helper of the tests: terms to start from, and a ledger that carries out what the module asks and
 //! checks the five rules at each call.
 
+#![allow(dead_code)] // each test program uses its own part
+
 use std::collections::BTreeMap;
 
 use spokeflow_core::*;
--- /dev/null
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -0,0 +1,241 @@
+//! Plain cases: the lane, the judge under each kind of build, and the failures that were met.
+
+mod common;
+
+use common::*;
+use spokeflow_core::*;
+
+/// A fleet of six old and four new hosts, its time before the trial already lived through.
+fn fleet(gate: Gate, change: impl Fn(&mut ServiceTerms)) -> (Router, Ledger) {
+    let mut terms = terms(gate);
+    change(&mut terms);
+    let (mut router, mut ledger) = Ledger::start(terms, 5);
+    ledger.tell(&mut router, news(OLD, 2, Standing::Released, 1.0));
+    let old: Vec<HostLine> = (0..10).map(|h| line(h, OLD)).collect();
+    ledger.list(&mut router, ListKind::Remembered, &old);
+    serve(&mut router, &mut ledger, 6 * SECOND, |_, _, _| (DeliveryEnd::Acked, 50 * MS));
+    let started = ledger.now - 5 * SECOND;
+    let new: Vec<HostLine> = (6..10).map(|h| HostLine { started: Some(started), ..line(h, NEW) }).collect();
+    ledger.list(&mut router, ListKind::Changes, &new);
+    ledger.tell(&mut router, news(NEW, 1, Standing::OnTrial, 0.4));
+    (router, ledger)
+}
+
+/// Eighty commands a second, their deliveries ended as `host` says: how and after which time.
+fn serve(
+    router: &mut Router,
+    ledger: &mut Ledger,
+    span: Micros,
+    host: impl Fn(HostId, usize, u32) -> (DeliveryEnd, Micros),
+) {
+    let to = ledger.now + span;
+    while ledger.now < to {
+        let id = ledger.owed.len() as u32;
+        let key = u64::from(id % 101) + 1;
+        if ledger.now / MS % 50 < 20 {
+            ledger.command(router, id, (id % 3) as usize, key, 1900 * MS);
+        }
+        ledger.pass(router, 5 * MS);
+        for (cmd, nth) in ledger.open() {
+            let (sent, op) = (ledger.owed[&cmd].sent[nth], ledger.owed[&cmd].op);
+            let (end, after) = host(sent.host, op, cmd.0 + nth as u32);
+            if ledger.now - sent.at >= after {
+                ledger.end(router, cmd, nth, end);
+            }
+        }
+    }
+}
+
+fn at_new(ledger: &Ledger, span: Micros) -> f64 {
+    let all = ledger.owed.values().flat_map(|o| &o.sent).filter(|s| s.at > ledger.now - span);
+    let (new, all) = all.fold((0, 0), |(new, all), s| (new + u32::from(s.host.0 >= 6), all + 1));
+    f64::from(new) / f64::from(all)
+}
+
+fn votes(ledger: &Ledger, verdict: Verdict) -> usize {
+    ledger.votes.iter().filter(|v| v.2 == verdict).count()
+}
+
+const GOOD: (DeliveryEnd, Micros) = (DeliveryEnd::Acked, 50 * MS);
+const BAD: (DeliveryEnd, Micros) = (DeliveryEnd::Error, 20 * MS);
+
+#[test]
+fn lane_grows_over_seconds_and_stays_within_the_cap() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 400 * MS, |_, _, _| GOOD);
+    assert!(at_new(&ledger, 400 * MS) < 0.15, "no jump at the start: {}", at_new(&ledger, 400 * MS));
+    serve(&mut router, &mut ledger, 8 * SECOND, |_, _, _| GOOD);
+    let share = at_new(&ledger, 4 * SECOND);
+    assert!((0.15..=0.4).contains(&share), "{share}");
+}
+
+#[test]
+fn keys_stay_at_the_build_that_they_met() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 8 * SECOND, |_, _, _| GOOD);
+    let mut turns = std::collections::BTreeMap::<Key, Vec<bool>>::new();
+    for owed in ledger.owed.values() {
+        turns
+            .entry(owed.key)
+            .or_default()
+            .extend(owed.sent.iter().map(|s| s.host.0 >= 6 && s.at > 107 * SECOND));
+    }
+    assert!(turns.values().any(|t| *t.last().expect("sent")), "some keys join");
+    assert!(turns.values().all(|t| t.windows(2).all(|w| w[0] <= w[1])), "none goes back");
+}
+
+#[test]
+fn a_good_build_goes_on_and_is_not_sent_back() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 8 * SECOND, |_, _, _| GOOD);
+    assert!(votes(&ledger, Verdict::On) > 0 && votes(&ledger, Verdict::Back) == 0, "{:?}", ledger.votes);
+}
+
+#[test]
+fn a_build_that_fails_one_op_type_in_two_goes_back() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    let host = |h: HostId, op, n| if h.0 >= 6 && op == 2 && n % 2 == 0 { BAD } else { GOOD };
+    serve(&mut router, &mut ledger, 12 * SECOND, host);
+    assert!(votes(&ledger, Verdict::Back) > 0);
+}
+
+#[test]
+fn a_build_that_needs_three_times_the_work_goes_back_without_one_error() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 12 * SECOND, |h, _, _| {
+        (DeliveryEnd::Acked, if h.0 >= 6 { 150 * MS } else { 50 * MS })
+    });
+    assert!(votes(&ledger, Verdict::Back) > 0);
+}
+
+#[test]
+fn a_build_that_slows_all_hosts_alike_goes_back() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 12 * SECOND, |_, _, _| (DeliveryEnd::Acked, 150 * MS));
+    assert!(votes(&ledger, Verdict::Back) > 0);
+}
+
+#[test]
+fn under_the_clock_doubts_hold_the_build() {
+    let (mut router, mut ledger) = fleet(Gate::Clocked, |_| {});
+    let host = |h: HostId, op, n| if h.0 >= 6 && op == 2 && n % 2 == 0 { BAD } else { GOOD };
+    serve(&mut router, &mut ledger, 12 * SECOND, host);
+    assert!(votes(&ledger, Verdict::Hold) > 0 && votes(&ledger, Verdict::Back) > 0);
+}
+
+#[test]
+fn one_host_that_errs_does_not_convict_its_build() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 12 * SECOND, |h, _, _| if h.0 == 7 { BAD } else { GOOD });
+    assert_eq!(votes(&ledger, Verdict::Back), 0);
+}
+
+#[test]
+fn a_cold_host_that_errs_fast_is_not_sent_everything() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    let cold = HostLine { started: Some(ledger.now), ..line(3, OLD) };
+    ledger.list(&mut router, ListKind::Changes, &[cold]);
+    let from = ledger.now;
+    serve(&mut router, &mut ledger, 2 * SECOND, |h, _, _| if h.0 == 3 { BAD } else { GOOD });
+    let sent = ledger.owed.values().flat_map(|o| &o.sent).filter(|s| s.host.0 == 3 && s.at >= from).count();
+    assert!(sent <= 5, "{sent}");
+}
+
+#[test]
+fn a_host_that_answers_nothing_is_soon_left_alone() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    let host = |h: HostId, _, _| (DeliveryEnd::Acked, if h.0 == 2 { 90 * SECOND } else { 50 * MS });
+    serve(&mut router, &mut ledger, 2 * SECOND, host);
+    let from = ledger.now;
+    serve(&mut router, &mut ledger, SECOND, host);
+    let sent = ledger.owed.values().flat_map(|o| &o.sent).filter(|s| s.host.0 == 2 && s.at >= from).count();
+    assert!(sent <= 1, "{sent}");
+}
+
+#[test]
+fn reports_of_wrong_answers_send_a_build_back_and_those_on_hosts_long_gone_do_not() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 5 * SECOND, |_, _, _| GOOD);
+    for _ in 0..4 {
+        router.at(ledger.now).disputed(HostId(77), SECOND);
+        router.at(ledger.now).disputed(HostId(7), 60 * SECOND);
+        router.at(ledger.now).disputed(HostId(1), SECOND);
+    }
+    ledger.pass(&mut router, SECOND);
+    assert_eq!(votes(&ledger, Verdict::Back), 0);
+    (0..4).for_each(|_| router.at(ledger.now).disputed(HostId(7), SECOND));
+    router.at(ledger.now).vote_answered(VoteAnswer::Counted);
+    ledger.pass(&mut router, SECOND);
+    assert!(votes(&ledger, Verdict::Back) > 0);
+}
+
+#[test]
+fn a_vote_without_an_answer_is_cast_again() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 8 * SECOND, |_, _, _| GOOD);
+    let cast = votes(&ledger, Verdict::On);
+    router.at(ledger.now).vote_answered(VoteAnswer::Silence);
+    serve(&mut router, &mut ledger, 4 * SECOND, |_, _, _| GOOD);
+    assert!(votes(&ledger, Verdict::On) > cast);
+}
+
+#[test]
+fn peers_carry_a_router_along_only_when_one_is_convinced() {
+    let (mut router, mut ledger) = fleet(Gate::Majority, |_| {});
+    let tell = |router: &mut Router, ledger: &Ledger, sums: [u16; 3]| {
+        for (peer, sum) in (1..).zip(sums) {
+            let [s1, s0] = sum.to_be_bytes();
+            router.at(ledger.now).heard(peer, &[1, 0, NEW.0 as u8, s1, s0, 0, 50]);
+        }
+    };
+    tell(&mut router, &ledger, [260, 260, 260]);
+    ledger.pass(&mut router, SECOND);
+    assert_eq!(votes(&ledger, Verdict::Back), 0);
+    tell(&mut router, &ledger, [460, 260, 0]);
+    ledger.pass(&mut router, SECOND);
+    assert!(votes(&ledger, Verdict::Back) > 0);
+}
+
+#[test]
+fn without_any_host_commands_are_nacked_early_with_a_time_to_come_back() {
+    let (mut router, mut ledger) = Ledger::start(terms(Gate::Single), 9);
+    ledger.list(&mut router, ListKind::Remembered, &[]);
+    ledger.command(&mut router, 1, 2, 8, 1900 * MS);
+    ledger.pass(&mut router, 300 * MS);
+    assert_eq!(ledger.nacks.len(), 1);
+    assert!(ledger.nacks[0].1.is_some_and(|t| t > 0 && t <= 2 * SECOND));
+}
+
+#[test]
+fn a_failed_list_is_asked_for_again_and_strange_input_changes_nothing() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    let asked = ledger.list_asked;
+    router.at(ledger.now).list_failed();
+    ledger.pass(&mut router, 2 * SECOND);
+    assert!(ledger.list_asked > asked);
+    ledger.list(&mut router, ListKind::Changes, &[HostLine { build: None, ..line(2, OLD) }]);
+    ledger.lines.insert(HostId(2), line(2, OLD));
+    ledger.tell(&mut router, news(NEW, 9, Standing::OnTrial, 0.4));
+    router.at(ledger.now).command(CommandId(1 << 30), OpType(99), ShareId(99), Key(1), SECOND, &mut Unheard);
+    serve(&mut router, &mut ledger, 6 * SECOND, |_, _, _| GOOD);
+    assert_eq!(votes(&ledger, Verdict::Back), 0);
+    assert!(at_new(&ledger, 4 * SECOND) > 0.1);
+}
+
+/// Takes the answer to a command that no ledger knows.
+struct Unheard;
+
+impl Egress for Unheard {
+    fn deliver(&mut self, _: CommandId, _: HostId, _: Option<Micros>) {
+        panic!("sent a command of no known op type");
+    }
+    fn nack(&mut self, _: CommandId, _: Option<Micros>) {}
+    fn fail(&mut self, _: CommandId) {}
+    fn cancel(&mut self, _: CommandId, _: u8) {}
+    fn wake(&mut self, _: Micros) {}
+    fn vote(&mut self, _: BuildId, _: u8, _: Verdict) {}
+    fn probe(&mut self, _: HostId) {}
+    fn watch_list(&mut self) {}
+    fn fetch_list(&mut self) {}
+    fn tell_all(&mut self, _: &[u8]) {}
+}
