--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -137,7 +137,7 @@
     // Sums: failures of each op type, own slowness, reported wrong answers, slowness that all hosts share.
     sums: Vec<f64>,
     old_fails: Vec<f64>,
-    usual_load: [f64; 2],
+    usual_load: [f64; 3],
     flow: [f64; 2],
     born: Micros,
     seen: u32,
@@ -335,8 +335,7 @@
     pub fn command(&mut self, cmd: CommandId, op: OpType, share: ShareId, key: Key, left: Micros, out: Out) {
         let op = usize::from(op.0);
         if op >= self.ops.len() {
-            out.nack(cmd, None);
-            return;
+            return out.nack(cmd, None);
         }
         self.flow[0] += 1.0;
         self.taken.push_back((self.now, self.slot(op)));
@@ -804,7 +803,8 @@
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
         let voices = [0.5, 0.5, 1.5].get(peers).copied().unwrap_or((0.4 * peers as f64).max(2.0));
-        let most = SEND_BACK_AT / voices;
+        // A lone host that is slow may have a neighbour; what it costs to wait for a second one is little.
+        let most = SEND_BACK_AT / if which == self.ops.len() { voices.max(1.5) } else { voices };
         let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
         self.hosts.blame[h] = (self.hosts.blame[h] + gain).max(0.0);
         self.sums[which] = (self.sums[which] + gain).max(0.0);
@@ -820,19 +820,21 @@
         late.iter().copied().fold(fails.iter().sum(), f64::max)
     }
 
-    /// Commands asked and answered of late for each whole host's worth of fit capacity.
-    fn load(&self) -> [f64; 2] {
-        let able: f64 = self.ready().filter(|&h| self.fit(h)).map(|h| self.warmth(h)).sum();
+    /// Commands asked and answered of late, and one alone, for each whole host's worth of fit capacity.
+    fn load(&self) -> [f64; 3] {
+        let able: f64 = self.ready().filter(|&h| self.hosts.strikes[h] == 0).map(|h| self.warmth(h)).sum();
         // The fading counts of a young router have not filled up yet.
         let filled = 1.0 - (-(self.now - self.born) as f64 / (4 * SECOND) as f64).exp();
-        self.flow.map(|f| f / filled.max(0.1) / able.max(1.0))
+        let [asked, answered] = self.flow.map(|f| f / filled.max(0.1));
+        [asked, answered, 1.0].map(|n| n / able.max(1.0))
     }
 
-    /// The slowness that comes of more load than before the trial. What is asked may have grown by the
-    /// retries that slowness brings, so it excuses less than what was answered.
+    /// The slowness that comes of more load, or of less capacity, than before the trial. What is asked may have
+    /// grown by the retries that slowness brings, so it excuses only up to a bound.
     fn by_load(&self) -> f64 {
-        let grown = |n: usize| (self.load()[n] / self.usual_load[n].max(1e-9)).ln();
-        let slower = (1.5 * grown(0)).min(1.0).max(1.5 * grown(1)).clamp(0.0, 1.5);
+        let now = self.load();
+        let slower = |n: usize| 1.5 * (now[n] / self.usual_load[n].max(1e-9)).ln();
+        let slower = slower(0).min(1.0).max(slower(1)).max(slower(2)).clamp(0.0, 1.5);
         slower * f64::from(u8::from(self.usual_load[1] > 0.0))
     }
 
