--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -199,12 +199,10 @@
             sums: vec![0.0; terms.ops.len() + 3],
             old_fails: vec![0.0; terms.ops.len()],
             chance: Chance::new(seed),
-            stage_began: now,
             beaten: now,
             born: now,
             spare: SPARE_AT_MOST / 2.0,
             ask_list_at: terms.list_must_be_asked.then_some(now + 5 * SECOND),
-            ask_pause: SECOND / 2,
             fleet: f64::from(terms.fleet_size.max(1)),
             delivery_cap: terms.delivery_cap.min(4) as usize,
             side_by_side: terms.side_by_side,
@@ -241,7 +239,7 @@
     pub fn listed(&mut self, kind: ListKind, lines: &[HostLine], out: Out) {
         if kind != ListKind::Remembered {
             self.ask_list_at = None;
-            self.ask_pause = SECOND / 2;
+            self.ask_pause = 0;
         }
         if kind != ListKind::Changes {
             let named: BTreeSet<HostId> = lines.iter().map(|line| line.host).collect();
@@ -260,9 +258,9 @@
 
     pub fn list_failed(&mut self) {
         // The notice does not say whether a subscription still stands: asking again is the only safe reading.
-        self.ask_list_at =
-            Some(self.now + self.ask_pause + self.chance.below(self.ask_pause as usize / 2) as Micros);
-        self.ask_pause = (self.ask_pause * 2).min(4 * SECOND);
+        self.ask_pause = (self.ask_pause * 2).clamp(SECOND / 2, 4 * SECOND);
+        let spread = self.chance.below(self.ask_pause as usize / 2) as Micros;
+        self.ask_list_at = Some(self.now + self.ask_pause + spread);
     }
 
     fn ready(&self) -> impl Iterator<Item = usize> + '_ {
@@ -829,8 +827,8 @@
         [asked, answered, 1.0].map(|n| n / able.max(1.0))
     }
 
-    /// The slowness that comes of more load, or of less capacity, than before the trial. What is asked may have
-    /// grown by the retries that slowness brings, so it excuses only up to a bound.
+    /// The slowness that comes of more load, or of less capacity, than before the trial. What is asked may
+    /// have grown by the retries that slowness brings, so it excuses only up to a bound.
     fn by_load(&self) -> f64 {
         let now = self.load();
         let slower = |n: usize| 1.5 * (now[n] / self.usual_load[n].max(1e-9)).ln();
