--- a/crates/spokeflow-core/src/egress.rs
+++ b/crates/spokeflow-core/src/egress.rs
@@ -25,6 +25,6 @@
     /// Subscribes to the host list.
     fn watch_list(&mut self);
     fn fetch_list(&mut self);
-    /// Sends a short message to all routers of the fleet.
-    fn tell_all(&mut self, text: &[u8]);
+    /// Sends a short message to one router of the fleet, or to all.
+    fn tell(&mut self, router: Option<u32>, text: &[u8]);
 }
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -9,11 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::{
-    BuildId, Chance, CommandId, DeliveryEnd, Egress, Gate, HostId, HostLine, HostPhase, Key, ListKind,
-    Micros, OpType, Repeat, RepeatScope, ServiceTerms, ShareId, StageNews, Standing, Verdict, VoteAnswer,
-    ZoneId,
-};
+use crate::*;
 
 type Out<'a> = &'a mut dyn Egress;
 
@@ -41,6 +37,10 @@
 const LATE_WEIGHT: f64 = 0.4;
 /// Answers that a router needs from a build before it votes on it.
 const ENOUGH_ANSWERS: u32 = 3;
+/// Routers that all evidence is told to where the fleet has more: what all tell all grows with the square.
+const LISTENERS: u32 = 8;
+/// Routers that each host is met by at least, so that their uneven traffic evens out.
+const MET_BY: f64 = 60.0;
 /// Share of the commands that may be delivered again at a guess, and the most saved up.
 const SPARE_PER_COMMAND: f64 = 0.1;
 const SPARE_AT_MOST: f64 = 10.0;
@@ -143,8 +143,12 @@
     seen: u32,
     seen_in_stage: u32,
     old_lag: f64,
-    /// When each peer last told of which build, its sum and the answers it rests on.
+    /// When each listener last told of which build, its sum and the answers it rests on.
     peers: BTreeMap<u32, (Micros, BuildId, f64, u32)>,
+    /// By host and sum, what the listeners have not been told yet, and the answers it rests on.
+    untold: BTreeMap<(HostId, u8), f64>,
+    untold_answers: u8,
+    own_index: u32,
     vote: Option<(BuildId, u8, Verdict)>,
     vote_stands_until: Micros,
     vote_again_at: Micros,
@@ -204,6 +208,7 @@
             spare: SPARE_AT_MOST / 2.0,
             ask_list_at: terms.list_must_be_asked.then_some(now + 5 * SECOND),
             fleet: f64::from(terms.fleet_size.max(1)),
+            own_index: terms.own_index,
             delivery_cap: terms.delivery_cap.min(4) as usize,
             side_by_side: terms.side_by_side,
             may_cancel: terms.may_cancel,
@@ -280,6 +285,7 @@
             self.sums.fill(0.0);
             self.seen = 0;
             self.hosts.blame.fill(0.0);
+            self.untold.clear();
         }
         if !same_build || before.is_some_and(|b| b.stage != news.stage || b.standing != news.standing) {
             self.stage_began = self.now - news.age;
@@ -516,17 +522,27 @@
         let proven: Vec<usize> = fit.iter().copied().filter(|&h| self.hosts.strikes[h] == 0).collect();
         // What runs at most once is lost with a host that fails: it goes where answers come back. A host
         // under suspicion is tried by a command that may be delivered again.
-        let pool = if at_most_once && !proven.is_empty() || self.spare < 1.0 && proven.len() * 2 > fit.len() {
-            proven
-        } else if fit.len() * 3 >= untried.len() {
-            fit
-        } else {
-            // Most hosts seem unfit at once: that is this router's view or its zone's links, not the hosts.
-            untried
-        };
+        let mut pool =
+            if at_most_once && !proven.is_empty() || self.spare < 1.0 && proven.len() * 2 > fit.len() {
+                proven
+            } else if fit.len() * 3 >= untried.len() {
+                fit
+            } else {
+                // Most hosts seem unfit at once: that is this router's view or its zone's links, not the hosts.
+                untried
+            };
         if pool.is_empty() {
             return None;
         }
+        // Guards against a new connection for nearly every command: a router with little traffic keeps to a
+        // few hosts, its own by hash, enough that each host is met by many routers or its traffic by many.
+        let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
+        let own = ((pool.len() as f64 * met.max(sent)).ceil() as usize).max(2);
+        if own < pool.len() {
+            let rank = |h: &usize| unit(u64::from(self.hosts.id[*h].0) << 32 | u64::from(self.own_index));
+            pool.select_nth_unstable_by(own, |a, b| rank(a).total_cmp(&rank(b)));
+            pool.truncate(own);
+        }
         let (a, b) = (pool[self.chance.below(pool.len())], pool[self.chance.below(pool.len())]);
         // Own commands in flight, weighed by how slowly the host has answered of late.
         let crawl = |h: usize| self.hosts.lag[h].clamp(0.0, 2.0).exp();
@@ -778,10 +794,11 @@
             self.seen_in_stage += 1;
             let wrong = &mut self.sums[self.ops.len() + 1];
             *wrong = (*wrong - WRONG_MARGIN).max(0.0);
-            self.add(h, op, failed - self.old_fails[op] - FAIL_MARGIN);
+            self.untold_answers = self.untold_answers.saturating_add(1);
+            self.found(h, op, failed - self.old_fails[op] - FAIL_MARGIN);
             if known {
                 let excused = self.old_lag.max(self.by_load());
-                self.add(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
+                self.found(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
             }
             return;
         }
@@ -794,6 +811,14 @@
         }
     }
 
+    /// What this router saw by itself.
+    fn found(&mut self, h: usize, which: usize, gain: f64) {
+        if self.may_tell {
+            *self.untold.entry((self.hosts.id[h], which as u8)).or_default() += gain;
+        }
+        self.add(h, which, gain);
+    }
+
     /// A build is convicted by two in five of its hosts, and by two at least where it has three: each may
     /// bring only its part. Guards against hosts that crash, hang, err or crawl, one or a third of them at
     /// once; it could harm by a few more failures before a build goes back that fails rarely and on many
@@ -859,30 +884,63 @@
         }
     }
 
+    /// The routers that the evidence on a build is told to; all know which.
+    fn listeners(&self, build: BuildId) -> BTreeSet<u32> {
+        let drawn = |n| (unit(u64::from(build.0) << 8 | u64::from(n)) * self.fleet) as u32;
+        let small = self.fleet <= f64::from(LISTENERS);
+        (0..LISTENERS.min(self.fleet as u32)).map(|n| if small { n } else { drawn(n) }).collect()
+    }
+
+    /// Guards against thin traffic: no router of many sees enough by itself, so eight sum up what all see,
+    /// host by host as if they had seen it, and tell the others how it stands. A lost message is lost proof.
     pub fn heard(&mut self, sender: u32, text: &[u8]) {
-        if let [1, b1, b0, s1, s0, n1, n0] = *text {
-            let [build, sum, seen] = [[b1, b0], [s1, s0], [n1, n0]].map(u16::from_be_bytes);
-            let (build, sum, seen) = (BuildId(build), f64::from(sum) / 100.0, u32::from(seen));
-            self.peers.insert(sender, (self.now, build, sum, seen));
+        let [kind, b1, b0, answers, rest @ ..] = text else { return };
+        let (build, answers) = (BuildId(u16::from_be_bytes([*b1, *b0])), u32::from(*answers));
+        if self.news.is_none_or(|n| n.build != build) {
+            return;
+        }
+        if let (1, [sum]) = (kind, rest) {
+            self.peers.insert(sender, (self.now, build, f64::from(*sum) / 10.0, answers));
+        } else if *kind == 2 {
+            self.seen += answers;
+            self.seen_in_stage += answers;
+            for part in rest.chunks_exact(7) {
+                let host = HostId(u32::from_be_bytes([part[0], part[1], part[2], part[3]]));
+                let gain = f64::from(i16::from_be_bytes([part[5], part[6]])) / 100.0;
+                let known = self.index.get(&host).filter(|&&h| self.hosts.build[h] == build);
+                if let Some(&h) = known.filter(|_| usize::from(part[4]) < self.sums.len()) {
+                    self.add(h, usize::from(part[4]), gain);
+                }
+            }
         }
     }
 
-    /// What the fleet knows of the build: all sums, the answers they rest on and the greatest sum. One sick
-    /// host raises every router's sum a little; only a router that is convinced itself can carry the others
-    /// along.
-    fn pooled(&self, build: BuildId) -> (f64, u32, f64) {
-        let fresh = self.peers.values().filter(|p| p.1 == build && self.now - p.0 < 3 * SECOND);
-        let own = (self.sum(), self.seen, self.sum());
-        fresh.fold(own, |(sum, seen, top), p| (sum + p.2, seen + p.3, top.max(p.2)))
+    fn tell(&mut self, build: BuildId, out: Out) {
+        let ([b1, b0], listeners) = (build.0.to_be_bytes(), self.listeners(build));
+        let mut text = vec![2, b1, b0, std::mem::take(&mut self.untold_answers)];
+        for ((host, which), gain) in std::mem::take(&mut self.untold).into_iter().take(36) {
+            text.extend(host.0.to_be_bytes());
+            text.push(which);
+            text.extend(((gain * 100.0) as i16).to_be_bytes());
+        }
+        for &router in listeners.iter().filter(|&&r| text.len() > 4 && r != self.own_index) {
+            out.tell(Some(router), &text);
+        }
+        if listeners.contains(&self.own_index) && self.fleet > f64::from(LISTENERS) && self.seen > 0 {
+            out.tell(None, &[1, b1, b0, self.seen.min(255) as u8, (self.sum() * 10.0).min(255.0) as u8]);
+        }
     }
 
     fn verdict(&self) -> Option<(BuildId, u8, Verdict)> {
         let news = self.news.filter(|n| matches!(n.standing, Standing::OnTrial | Standing::Released))?;
-        let (sum, seen, top) = self.pooled(news.build);
+        let told: Vec<_> =
+            self.peers.values().filter(|p| p.1 == news.build && self.now - p.0 < 3 * SECOND).collect();
         let on_trial = news.standing == Standing::OnTrial;
         // Once released, going back means a cold start of the whole fleet: it wants twice the proof.
         let proof = SEND_BACK_AT * if on_trial { 1.0 } else { 2.0 };
-        if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || sum >= 1.5 * proof && top >= proof {
+        // One listener may be cut off from the others: it wants a second one, or doubts of one's own.
+        let convinced = told.iter().filter(|p| p.2 >= proof).count() + usize::from(self.sum() >= proof / 2.0);
+        if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || convinced >= 2 {
             return Some((news.build, news.stage, Verdict::Back));
         }
         if !on_trial {
@@ -897,10 +955,10 @@
         let complete = count > 0 && count as f64 >= (share * self.ready().count() as f64).floor();
         let unlisted = Micros::from(!complete && latest <= self.stage_began);
         let from = latest.max(self.stage_began) + unlisted * 8 * SECOND;
-        let known =
-            self.seen_in_stage >= ENOUGH_ANSWERS || (self.gate == Gate::Majority && seen >= ENOUGH_ANSWERS);
+        let known = told.iter().map(|p| p.3).fold(self.seen_in_stage, u32::max) >= ENOUGH_ANSWERS;
+        let top = told.iter().map(|p| p.2).fold(self.sum(), f64::max);
         let waited = self.now - from;
-        let go = sum < QUIET_BELOW && waited >= self.go_wait && (known || waited >= 3 * self.go_wait);
+        let go = top < QUIET_BELOW && waited >= self.go_wait && (known || waited >= 3 * self.go_wait);
         go.then_some((news.build, news.stage, Verdict::On))
     }
 
@@ -959,10 +1017,8 @@
         self.swept = self.now;
         let (now, one_way) = (self.now, self.one_way);
         self.pins.retain(|_, p| now - p.used < PIN_IDLE || one_way && p.answered_by.is_some());
-        if let Some(news) = self.news.filter(|_| self.may_tell && self.seen > 0) {
-            let figures = [news.build.0, (self.sum() * 100.0) as u16, self.seen.min(65_535) as u16];
-            let [[b1, b0], [s1, s0], [n1, n0]] = figures.map(u16::to_be_bytes);
-            out.tell_all(&[1, b1, b0, s1, s0, n1, n0]);
+        if let Some(news) = self.news.filter(|_| self.may_tell) {
+            self.tell(news.build, out);
         }
     }
 }
--- a/crates/spokeflow-core/tests/common/mod.rs
+++ b/crates/spokeflow-core/tests/common/mod.rs
@@ -306,7 +306,7 @@
         self.list_asked += 1;
     }
 
-    fn tell_all(&mut self, text: &[u8]) {
+    fn tell(&mut self, _router: Option<u32>, text: &[u8]) {
         assert!(text.len() <= 256);
         self.told.push(text.to_vec());
     }
--- a/crates/spokeflow-wirehost/src/reply.rs
+++ b/crates/spokeflow-wirehost/src/reply.rs
@@ -98,7 +98,8 @@
         self.record(11, &[]);
     }
 
-    fn tell_all(&mut self, text: &[u8]) {
-        self.record(7, &[&u16::MAX.to_be_bytes(), &(text.len() as u16).to_be_bytes(), text]);
+    fn tell(&mut self, router: Option<u32>, text: &[u8]) {
+        let to = router.map_or(u16::MAX, |r| r as u16);
+        self.record(7, &[&to.to_be_bytes(), &(text.len() as u16).to_be_bytes(), text]);
     }
 }
