--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -47,6 +47,7 @@
 /// Parts of the service target: at hosts before they are crowded, waiting for a place, waiting before a
 /// second delivery where the host looks sick, and where it does not.
 const CROWDED_PART: f64 = 0.4;
+const STRAINED_PART: f64 = 0.5;
 const HOLD_PART: f64 = 0.3;
 const DOUBT_PART: f64 = 0.35;
 const PATIENCE_PART: f64 = 0.75;
@@ -61,6 +62,8 @@
     usual_seen: u32,
     /// Acks of the last second or so, fading.
     acks: f64,
+    /// Median time to an answer over the service target, as a logarithm.
+    strain: f64,
 }
 
 struct Delivery {
@@ -190,6 +193,7 @@
             usual: 0.0,
             usual_seen: 0,
             acks: 0.0,
+            strain: -2.0,
         });
         out.wake(now + BEAT);
         if terms.list_must_be_asked {
@@ -349,10 +353,27 @@
         let share = (share.0 as usize).min(self.shares.len() - 1);
         let command = Command { op, key, share, place, taken, until, ended: false, deliveries };
         self.cmds.insert(cmd, command);
+        if self.strained(op) {
+            return self.give_up(cmd, out);
+        }
         self.held.push_back(cmd);
         self.place_held(out);
     }
 
+    /// Guards against queues so long that most is served too late, where traffic is so thin that a bound on
+    /// what is out says nothing: the part that would bring the median time back to half the service target
+    /// is taken, the rest nacked. It could harm where an op type is slow for a reason that shedding cannot mend.
+    fn strained(&mut self, op: usize) -> bool {
+        let over = self.ops[op].strain - STRAINED_PART.ln();
+        let thin = CROWDED_PART * self.returns() < 2.0;
+        thin && over > 0.0 && f64::from(self.chance.draw()) / f64::from(u32::MAX) > (-over).exp()
+    }
+
+    /// What comes back within a service target.
+    fn returns(&self) -> f64 {
+        self.ops.iter().map(|o| o.acks * o.target / SECOND as f64).sum()
+    }
+
     /// Runs the chain for a command that is owed an answer; says whether a delivery went out.
     fn route(&mut self, cmd: CommandId, out: Out) -> bool {
         let Some(c) = self.cmds.get(&cmd).filter(|c| !c.ended) else { return false };
@@ -513,36 +534,29 @@
             (Some(b), _, RepeatScope::Cell) => self.hosts.cell[b] == self.hosts.cell[h],
             (Some(b), _, RepeatScope::Unknown) => b == h,
         };
-        let untried: Vec<usize> = self
-            .ready_with(build)
-            .filter(|&h| drops_repeats(h) && self.may_take(h))
-            .filter(|&h| c.deliveries.iter().all(|d| d.host != h))
-            .collect();
+        let mut near: Vec<usize> = self.ready_with(build).collect();
+        self.keep_own(&mut near);
+        let usable =
+            |h: &usize| drops_repeats(*h) && self.may_take(*h) && c.deliveries.iter().all(|d| d.host != *h);
+        let mut untried: Vec<usize> = near.into_iter().filter(usable).collect();
+        if untried.is_empty() {
+            untried = self.ready_with(build).filter(usable).collect();
+        }
         let fit: Vec<usize> = untried.iter().copied().filter(|&h| self.fit(h)).collect();
         let proven: Vec<usize> = fit.iter().copied().filter(|&h| self.hosts.strikes[h] == 0).collect();
         // What runs at most once is lost with a host that fails: it goes where answers come back. A host
         // under suspicion is tried by a command that may be delivered again.
-        let mut pool =
-            if at_most_once && !proven.is_empty() || self.spare < 1.0 && proven.len() * 2 > fit.len() {
-                proven
-            } else if fit.len() * 3 >= untried.len() {
-                fit
-            } else {
-                // Most hosts seem unfit at once: that is this router's view or its zone's links, not the hosts.
-                untried
-            };
+        let pool = if at_most_once && !proven.is_empty() || self.spare < 1.0 && proven.len() * 2 > fit.len() {
+            proven
+        } else if fit.len() * 3 >= untried.len() {
+            fit
+        } else {
+            // Most hosts seem unfit at once: that is this router's view or its zone's links, not the hosts.
+            untried
+        };
         if pool.is_empty() {
             return None;
         }
-        // Guards against a new connection for nearly every command: a router with little traffic keeps to a
-        // few hosts, its own by hash, enough that each host is met by many routers or its traffic by many.
-        let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
-        let own = ((pool.len() as f64 * met.max(sent)).ceil() as usize).max(2);
-        if own < pool.len() {
-            let rank = |h: &usize| unit(u64::from(self.hosts.id[*h].0) << 32 | u64::from(self.own_index));
-            pool.select_nth_unstable_by(own, |a, b| rank(a).total_cmp(&rank(b)));
-            pool.truncate(own);
-        }
         let (a, b) = (pool[self.chance.below(pool.len())], pool[self.chance.below(pool.len())]);
         // Own commands in flight, weighed by how slowly the host has answered of late.
         let crawl = |h: usize| self.hosts.lag[h].clamp(0.0, 2.0).exp();
@@ -550,14 +564,25 @@
         Some(if weigh(b) < weigh(a) { b } else { a })
     }
 
+    /// Guards against a new connection for nearly every command: a router with little traffic keeps to a few
+    /// hosts, its own by hash, enough that each host is met by many routers or its traffic by many hosts.
+    fn keep_own(&self, hosts: &mut Vec<usize>) {
+        let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
+        let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
+        if own < hosts.len() {
+            let rank = |h: &usize| unit(u64::from(self.hosts.id[*h].0) << 32 | u64::from(self.own_index));
+            hosts.select_nth_unstable_by(own, |a, b| rank(a).total_cmp(&rank(b)));
+            hosts.truncate(own);
+        }
+    }
+
     /// Guards against piling up: no more is out than what lately came back within a part of the service
     /// target, whatever slows the hosts. Under light load it never binds; it could harm where answers return
     /// after a gap.
     fn crowded(&self) -> bool {
         let out: u32 = self.hosts.in_flight.iter().sum();
-        let flow: f64 = self.ops.iter().map(|o| o.acks * o.target / SECOND as f64).sum();
         let base = 2.0 + 2.0 * self.ready().count() as f64 / self.fleet;
-        f64::from(out) >= base + 1.1 * CROWDED_PART * flow
+        f64::from(out) >= base + 1.1 * CROWDED_PART * self.returns()
     }
 
     fn fit(&self, h: usize) -> bool {
@@ -651,6 +676,11 @@
         d.may_have_run = may_have_run(end);
         let (h, build, op, key) = (d.host, d.build, c.op, c.key);
         self.hosts.in_flight[h] = self.hosts.in_flight[h].saturating_sub(1);
+        if matches!(end, DeliveryEnd::Acked | DeliveryEnd::TimedOut) {
+            let rules = &mut self.ops[op];
+            let step = if took as f64 > rules.target * rules.strain.exp() { 0.2 } else { -0.2 };
+            rules.strain = (rules.strain + step).clamp(-2.0, 1.0);
+        }
         if self.hosts.build[h] == build {
             self.judge(h, op, end, took);
             self.health(h, end);
