--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -48,6 +48,8 @@
 /// second delivery where the host looks sick, and where it does not.
 const CROWDED_PART: f64 = 0.4;
 const STRAINED_PART: f64 = 0.5;
+/// Slowness of a zone against the best one, as a logarithm, from which its hosts are passed over.
+const FAR: f64 = 1.2;
 const HOLD_PART: f64 = 0.3;
 const DOUBT_PART: f64 = 0.35;
 const PATIENCE_PART: f64 = 0.75;
@@ -125,6 +127,8 @@
     chance: Chance,
     index: BTreeMap<HostId, usize>,
     hosts: Hosts,
+    /// By zone, how much slower than usual its hosts answer, as a logarithm.
+    ways: BTreeMap<ZoneId, f64>,
     cmds: BTreeMap<CommandId, Command>,
     held: VecDeque<CommandId>,
     pins: BTreeMap<Key, Pin>,
@@ -353,7 +357,7 @@
         let share = (share.0 as usize).min(self.shares.len() - 1);
         let command = Command { op, key, share, place, taken, until, ended: false, deliveries };
         self.cmds.insert(cmd, command);
-        if self.strained(op) {
+        if f64::from(self.chance.draw()) / f64::from(u32::MAX) > (-self.strain(op)).exp() {
             return self.give_up(cmd, out);
         }
         self.held.push_back(cmd);
@@ -363,10 +367,13 @@
     /// Guards against queues so long that most is served too late, where traffic is so thin that a bound on
     /// what is out says nothing: the part that would bring the median time back to half the service target
     /// is taken, the rest nacked. It could harm where an op type is slow for a reason that shedding cannot mend.
-    fn strained(&mut self, op: usize) -> bool {
-        let over = self.ops[op].strain - STRAINED_PART.ln();
+    fn strain(&self, op: usize) -> f64 {
         let thin = CROWDED_PART * self.returns() < 2.0;
-        thin && over > 0.0 && f64::from(self.chance.draw()) / f64::from(u32::MAX) > (-over).exp()
+        if thin {
+            self.ops[op].strain - STRAINED_PART.ln()
+        } else {
+            0.0
+        }
     }
 
     /// What comes back within a service target.
@@ -535,6 +542,9 @@
             (Some(b), _, RepeatScope::Unknown) => b == h,
         };
         let mut near: Vec<usize> = self.ready_with(build).collect();
+        if near.iter().any(|&h| self.detour(h) < FAR) {
+            near.retain(|&h| self.detour(h) < FAR);
+        }
         self.keep_own(&mut near);
         let usable =
             |h: &usize| drops_repeats(*h) && self.may_take(*h) && c.deliveries.iter().all(|d| d.host != *h);
@@ -634,7 +644,9 @@
             let doubt = self.mute(d.host) || self.hosts.lag[d.host] > 0.7;
             let part = if doubt { DOUBT_PART } else { PATIENCE_PART };
             let slow = (self.now - d.sent) as f64 > self.ops[c.op].target * part;
-            slow && (doubt || self.side_by_side) && self.may_redeliver(c) && c.until - self.now > 4 * BEAT
+            slow && (doubt || self.side_by_side && self.strain(c.op) <= 0.0)
+                && self.may_redeliver(c)
+                && c.until - self.now > 4 * BEAT
         };
         let due: Vec<CommandId> = self.cmds.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
         for cmd in due {
@@ -781,7 +793,11 @@
                 }
             }
             DeliveryEnd::Full => self.hosts.shut_until[h] = self.hosts.shut_until[h].max(self.now + 100 * MS),
-            DeliveryEnd::NotConnected | DeliveryEnd::Reset => self.strike(h, SECOND / 2),
+            DeliveryEnd::NotConnected => {
+                self.learn_way(h, 2.0);
+                self.strike(h, SECOND / 2);
+            }
+            DeliveryEnd::Reset => self.strike(h, SECOND / 2),
             DeliveryEnd::TimedOut if self.mute(h) || self.hosts.strikes[h] > 0 => self.strike(h, SECOND),
             _ => {}
         }
@@ -790,6 +806,18 @@
         }
     }
 
+    fn learn_way(&mut self, h: usize, late: f64) {
+        let way = self.ways.entry(self.hosts.zone[h]).or_default();
+        *way += 0.15 * (late - *way);
+    }
+
+    /// By how much a host's whole zone answers slower than the best zone. Guards against a slow or broken way
+    /// between zones, which is neither the host's doing nor the build's; where all are slow it says nothing.
+    fn detour(&self, h: usize) -> f64 {
+        let best = self.ways.values().copied().fold(f64::INFINITY, f64::min);
+        self.ways.get(&self.hosts.zone[h]).map_or(0.0, |way| way - best)
+    }
+
     fn strike(&mut self, h: usize, pause: Micros) {
         if self.now >= self.hosts.shut_until[h] {
             self.hosts.shut_until[h] = self.now + (pause << self.hosts.strikes[h].min(3));
@@ -812,8 +840,15 @@
         };
         let acked = end == DeliveryEnd::Acked;
         let time = (took.max(1) as f64).ln() + self.warmth(h).ln();
-        let known = acked && self.ops[op].usual_seen >= 20;
-        let late = if known { (time - self.ops[op].usual).clamp(-2.0, 2.0) } else { 0.0 };
+        // A mean that rests on few answers may be off by chance, which must not count against the build.
+        let (rests_on, usual) = (self.ops[op].usual_seen, self.ops[op].usual);
+        let known = acked && rests_on >= 5;
+        let unsure = 1.0 / f64::from(rests_on.max(1)).sqrt();
+        let late = if known { (time - usual - (unsure - 0.25).max(0.0)).clamp(-2.0, 2.0) } else { 0.0 };
+        if known {
+            self.learn_way(h, late);
+        }
+        let late = late - self.detour(h);
         self.hosts.lag[h] += 0.15 * (late - self.hosts.lag[h]);
         if known {
             self.judge_shared(late);
@@ -834,7 +869,9 @@
         }
         self.old_fails[op] += 0.02 * (failed - self.old_fails[op]);
         self.old_lag += 0.05 * (late - self.old_lag);
-        if acked && self.news.is_none_or(|n| n.standing != Standing::OnTrial) {
+        // Thin traffic goes on learning in the first stages, from the earlier build's hosts.
+        let few = self.ops[op].usual_seen < 20 && self.lane < 0.2;
+        if acked && (few || self.news.is_none_or(|n| n.standing != Standing::OnTrial)) {
             let rules = &mut self.ops[op];
             rules.usual_seen += 1;
             rules.usual += (time - rules.usual) / f64::from(rules.usual_seen.min(200));
@@ -1025,6 +1062,8 @@
     fn beat(&mut self, out: Out) {
         let fade = (-(self.now - self.beaten) as f64 / SECOND as f64).exp();
         self.ops.iter_mut().for_each(|o| o.acks *= fade);
+        // Forgotten in time, so that a way that has been mended is tried again.
+        self.ways.values_mut().for_each(|way| *way *= fade.powf(0.1));
         self.served.iter_mut().for_each(|s| *s *= fade);
         self.flow = self.flow.map(|f| f * fade.powf(0.25));
         self.grow_lane();
