--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -46,6 +46,7 @@
 const SPARE_AT_MOST: f64 = 10.0;
 /// Parts of the service target: at hosts before they are crowded, waiting for a place, waiting before a
 /// second delivery where the host looks sick, and where it does not.
+const COLD_PART: f64 = 1.4;
 const CROWDED_PART: f64 = 0.4;
 const STRAINED_PART: f64 = 0.5;
 /// Slowness of a zone against the best one, as a logarithm, from which its hosts are passed over.
@@ -106,8 +107,10 @@
     phase: Vec<HostPhase>,
     started: Vec<Option<Micros>>,
     in_flight: Vec<u32>,
-    /// Sent to and acked by the present process.
+    /// Sent in the last slot of time, and which that was.
     sent: Vec<u32>,
+    slot: Vec<Micros>,
+    /// Acked by the present process.
     answers: Vec<u32>,
     strikes: Vec<u32>,
     shut_until: Vec<Micros>,
@@ -144,8 +147,12 @@
     // Sums: failures of each op type, own slowness, reported wrong answers, slowness that all hosts share.
     sums: Vec<f64>,
     old_fails: Vec<f64>,
+    /// By customer, answers and failures of late at hosts of any build.
+    by_share: Vec<[f64; 2]>,
     usual_load: [f64; 3],
     flow: [f64; 2],
+    /// Answers a second that a whole host gives this router.
+    pace: f64,
     born: Micros,
     seen: u32,
     seen_in_stage: u32,
@@ -173,6 +180,8 @@
     longest_return: Option<Micros>,
     cold_from: f64,
     warm_within: Micros,
+    cold_slot: Micros,
+    cold_part: f64,
     gate: Gate,
     stage_caps: Vec<f64>,
     stage_shares: Vec<f64>,
@@ -210,6 +219,7 @@
             shares: if terms.shares.is_empty() { vec![1.0] } else { terms.shares.clone() },
             sums: vec![0.0; terms.ops.len() + 3],
             old_fails: vec![0.0; terms.ops.len()],
+            by_share: vec![[0.0; 2]; terms.shares.len().max(1)],
             chance: Chance::new(seed),
             beaten: now,
             born: now,
@@ -224,6 +234,9 @@
             longest_return: terms.may_name_return.then_some(terms.longest_return),
             cold_from: terms.cold_from.clamp(0.05, 1.0),
             warm_within: terms.warm_within.max(1),
+            cold_slot: (terms.fall_span / 3).max(1),
+            // A window meets one slot more than it is long.
+            cold_part: COLD_PART * terms.fall_multiple * (terms.fall_span / 3).max(1) as f64 / SECOND as f64,
             gate: terms.gate,
             stage_caps: terms.stage_caps.clone(),
             stage_shares: terms.stage_shares.clone(),
@@ -545,12 +558,13 @@
         if near.iter().any(|&h| self.detour(h) < FAR) {
             near.retain(|&h| self.detour(h) < FAR);
         }
-        self.keep_own(&mut near);
-        let usable =
-            |h: &usize| drops_repeats(*h) && self.may_take(*h) && c.deliveries.iter().all(|d| d.host != *h);
-        let mut untried: Vec<usize> = near.into_iter().filter(usable).collect();
+        let of_own = self.keep_own(&mut near);
+        let usable = |h: usize, of_own| {
+            drops_repeats(h) && self.may_take(h, of_own) && c.deliveries.iter().all(|d| d.host != h)
+        };
+        let mut untried: Vec<usize> = near.into_iter().filter(|&h| usable(h, of_own)).collect();
         if untried.is_empty() {
-            untried = self.ready_with(build).filter(usable).collect();
+            untried = self.ready_with(build).filter(|&h| usable(h, 0.2)).collect();
         }
         let fit: Vec<usize> = untried.iter().copied().filter(|&h| self.fit(h)).collect();
         let proven: Vec<usize> = fit.iter().copied().filter(|&h| self.hosts.strikes[h] == 0).collect();
@@ -576,14 +590,18 @@
 
     /// Guards against a new connection for nearly every command: a router with little traffic keeps to a few
     /// hosts, its own by hash, enough that each host is met by many routers or its traffic by many hosts.
-    fn keep_own(&self, hosts: &mut Vec<usize>) {
+    /// Answers how much more of the traffic its own hosts get for that.
+    fn keep_own(&self, hosts: &mut Vec<usize>) -> f64 {
         let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
         let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
         if own < hosts.len() {
             let rank = |h: &usize| unit(u64::from(self.hosts.id[*h].0) << 32 | u64::from(self.own_index));
             hosts.select_nth_unstable_by(own, |a, b| rank(a).total_cmp(&rank(b)));
+            let of_own = hosts.len() as f64 / own as f64;
             hosts.truncate(own);
+            return of_own;
         }
+        1.0
     }
 
     /// Guards against piling up: no more is out than what lately came back within a part of the service
@@ -605,14 +623,24 @@
         self.hosts.in_flight[h] > 0 && self.now - self.hosts.mute_since[h] > (6 * usual).max(600 * MS)
     }
 
-    /// A fresh host gets little at first and more with each ack; one that has failed gets one at a time. What
-    /// is sent counts, not what is in flight: a cold host that errs fast would else be sent any number and
-    /// fall over.
-    fn may_take(&self, h: usize) -> bool {
-        let (acks, age) = (self.hosts.answers[h], self.now - self.hosts.started[h].unwrap_or(0));
-        let cold = self.hosts.started[h].is_some() && age < self.warm_within + SECOND;
-        let earned = 2 + acks + acks / 2 + (age / SECOND).clamp(0, 60) as u32;
-        (!cold || self.hosts.sent[h] < earned) && (self.hosts.strikes[h] == 0 || self.hosts.in_flight[h] == 0)
+    /// A fresh host gets no more in flight than its answers have earned, and over each slot of time at most a
+    /// router's own part of what the fleet may send it: some way above what a whole host answers this router,
+    /// as far as it can be warm. A part under one is drawn anew each slot, so that the parts of many routers
+    /// add up to the bound and none is saved up. What is sent counts: a host that errs fast would else be sent
+    /// any number. One that has failed gets one command at a time.
+    fn may_take(&self, h: usize, of_own: f64) -> bool {
+        let age = self.now - self.hosts.started[h].unwrap_or(0);
+        if self.hosts.started[h].is_some() && age < self.warm_within + SECOND {
+            let slot = self.now / self.cold_slot;
+            let sent = if self.hosts.slot[h] == slot { self.hosts.sent[h] } else { 0 };
+            let draw =
+                unit(u64::from(self.hosts.id[h].0) << 32 | u64::from(self.own_index) ^ (slot as u64) << 12);
+            let part = self.cold_part * self.warmth(h).max(0.6) * self.pace * of_own + draw;
+            if f64::from(sent + 1) > part || self.hosts.in_flight[h] > 1 + self.hosts.answers[h] {
+                return false;
+            }
+        }
+        self.hosts.strikes[h] == 0 || self.hosts.in_flight[h] == 0
     }
 
     // ---- Dispatch ----
@@ -629,7 +657,10 @@
             self.hosts.mute_since[host] = sent;
         }
         self.hosts.in_flight[host] += 1;
-        self.hosts.sent[host] = self.hosts.sent[host].saturating_add(1);
+        if std::mem::replace(&mut self.hosts.slot[host], sent / self.cold_slot) != sent / self.cold_slot {
+            self.hosts.sent[host] = 0;
+        }
+        self.hosts.sent[host] += 1;
         self.served[c.share] += 1.0;
         out.deliver(cmd, self.hosts.id[host], None);
     }
@@ -686,7 +717,7 @@
         let Some(d) = c.deliveries.get_mut(usize::from(nth)).filter(|d| d.open) else { return };
         d.open = false;
         d.may_have_run = may_have_run(end);
-        let (h, build, op, key) = (d.host, d.build, c.op, c.key);
+        let (h, build, op, key, share) = (d.host, d.build, c.op, c.key, c.share);
         self.hosts.in_flight[h] = self.hosts.in_flight[h].saturating_sub(1);
         if matches!(end, DeliveryEnd::Acked | DeliveryEnd::TimedOut) {
             let rules = &mut self.ops[op];
@@ -694,8 +725,8 @@
             rules.strain = (rules.strain + step).clamp(-2.0, 1.0);
         }
         if self.hosts.build[h] == build {
-            self.judge(h, op, end, took);
-            self.health(h, end);
+            self.judge(h, op, share, end, took);
+            self.health(h, share, end);
         }
         if end == DeliveryEnd::Acked {
             self.ops[op].acks += 1.0;
@@ -773,7 +804,7 @@
 
     // ---- Health ----
 
-    fn health(&mut self, h: usize, end: DeliveryEnd) {
+    fn health(&mut self, h: usize, share: usize, end: DeliveryEnd) {
         match end {
             DeliveryEnd::Acked => {
                 self.hosts.strikes[h] = 0;
@@ -781,7 +812,7 @@
                 self.hosts.errors[h] *= 0.85;
             }
             DeliveryEnd::Error => {
-                self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15;
+                self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15 * self.proof(share, 0.0);
                 // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the others
                 // of its build is set aside: a build that errs everywhere is the judge's, and must not hide
                 // as hosts.
@@ -827,7 +858,7 @@
 
     // ---- The judge ----
 
-    fn judge(&mut self, h: usize, op: usize, end: DeliveryEnd, took: Micros) {
+    fn judge(&mut self, h: usize, op: usize, share: usize, end: DeliveryEnd, took: Micros) {
         let build = self.hosts.build[h];
         let failed = match end {
             DeliveryEnd::Acked => 0.0,
@@ -839,6 +870,9 @@
             _ => return,
         };
         let acked = end == DeliveryEnd::Acked;
+        self.by_share.iter_mut().flatten().for_each(|n| *n *= 0.98);
+        self.by_share[share][0] += 1.0;
+        self.by_share[share][1] += failed;
         let time = (took.max(1) as f64).ln() + self.warmth(h).ln();
         // A mean that rests on few answers may be off by chance, which must not count against the build.
         let (rests_on, usual) = (self.ops[op].usual_seen, self.ops[op].usual);
@@ -860,7 +894,8 @@
             let wrong = &mut self.sums[self.ops.len() + 1];
             *wrong = (*wrong - WRONG_MARGIN).max(0.0);
             self.untold_answers = self.untold_answers.saturating_add(1);
-            self.found(h, op, failed - self.old_fails[op] - FAIL_MARGIN);
+            let gain = failed - self.old_fails[op] - FAIL_MARGIN;
+            self.found(h, op, gain * self.proof(share, self.old_fails[op]));
             if known {
                 let excused = self.old_lag.max(self.by_load());
                 self.found(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
@@ -878,6 +913,17 @@
         }
     }
 
+    /// What a failure or its absence proves where so many fail anyway. Guards against commands that err at every
+    /// host alike: those of one customer beyond the others', or of all at the earlier build. It could harm
+    /// where a build fails one customer only.
+    fn proof(&self, share: usize, anyway: f64) -> f64 {
+        let [all, fails] = self.by_share.iter().fold([0.0; 2], |sum, n| [sum[0] + n[0], sum[1] + n[1]]);
+        let [own, failed] = self.by_share[share];
+        let rest = (fails - failed + 1.0) / (all - own + 2.0);
+        let beyond = (failed - failed.sqrt()) / (own + 1.0) - rest;
+        FAIL_MARGIN / (FAIL_MARGIN + beyond.max(anyway - 0.02).max(0.0))
+    }
+
     /// What this router saw by itself.
     fn found(&mut self, h: usize, which: usize, gain: f64) {
         if self.may_tell {
@@ -1068,6 +1114,10 @@
         self.flow = self.flow.map(|f| f * fade.powf(0.25));
         self.grow_lane();
         self.forget_window();
+        let [asked, answered, _] = self.load();
+        let pace = answered.max(asked / 4.0) / 4.0;
+        // A fleet that answers little for a while can still do what it did.
+        self.pace += (pace - self.pace) * if pace > self.pace { 0.01 } else { 0.001 };
         if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now > self.born + 2 * SECOND {
             let (pace, load) = (if self.usual_load[1] > 0.0 { 0.01 } else { 1.0 }, self.load());
             self.usual_load.iter_mut().zip(load).for_each(|(usual, load)| *usual += pace * (load - *usual));
@@ -1118,7 +1168,9 @@
         [&mut self.in_flight, &mut self.sent, &mut self.answers, &mut self.strikes]
             .into_iter()
             .for_each(|v| v.push(0));
-        [&mut self.shut_until, &mut self.mute_since].into_iter().for_each(|v| v.push(Micros::MIN));
+        [&mut self.shut_until, &mut self.mute_since, &mut self.slot]
+            .into_iter()
+            .for_each(|v| v.push(Micros::MIN));
         [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v.push(0.0));
         self.id.len() - 1
     }
@@ -1130,7 +1182,7 @@
             self.build_before[h] = self.build[h];
             self.build[h] = build;
             self.started[h] = line.started;
-            [&mut self.sent, &mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
+            [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
             [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
             self.shut_until[h] = Micros::MIN;
         }
