--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -555,8 +555,8 @@
             (Some(b), _, RepeatScope::Unknown) => b == h,
         };
         let mut near: Vec<usize> = self.ready_with(build).collect();
-        if near.iter().any(|&h| self.detour(h) < FAR) {
-            near.retain(|&h| self.detour(h) < FAR);
+        if near.iter().any(|&h| self.detour(h) == 0.0) {
+            near.retain(|&h| self.detour(h) == 0.0);
         }
         let of_own = self.keep_own(&mut near);
         let usable = |h: usize, of_own| {
@@ -846,7 +846,7 @@
     /// between zones, which is neither the host's doing nor the build's; where all are slow it says nothing.
     fn detour(&self, h: usize) -> f64 {
         let best = self.ways.values().copied().fold(f64::INFINITY, f64::min);
-        self.ways.get(&self.hosts.zone[h]).map_or(0.0, |way| way - best)
+        self.ways.get(&self.hosts.zone[h]).map(|way| way - best).filter(|&more| more > FAR).unwrap_or(0.0)
     }
 
     fn strike(&mut self, h: usize, pause: Micros) {
@@ -958,7 +958,8 @@
 
     /// Commands asked and answered of late, and one alone, for each whole host's worth of fit capacity.
     fn load(&self) -> [f64; 3] {
-        let able: f64 = self.ready().filter(|&h| self.hosts.strikes[h] == 0).map(|h| self.warmth(h)).sum();
+        let open = |h: &usize| self.hosts.strikes[*h] == 0 && self.now >= self.hosts.shut_until[*h];
+        let able: f64 = self.ready().filter(open).map(|h| self.warmth(h)).sum();
         // The fading counts of a young router have not filled up yet.
         let filled = 1.0 - (-(self.now - self.born) as f64 / (4 * SECOND) as f64).exp();
         let [asked, answered] = self.flow.map(|f| f / filled.max(0.1));
