--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -812,7 +812,7 @@
                 self.hosts.errors[h] *= 0.85;
             }
             DeliveryEnd::Error => {
-                self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15 * self.proof(share, 0.0);
+                self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15 * self.proof(share);
                 // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the others
                 // of its build is set aside: a build that errs everywhere is the judge's, and must not hide
                 // as hosts.
@@ -872,7 +872,7 @@
         let acked = end == DeliveryEnd::Acked;
         self.by_share.iter_mut().flatten().for_each(|n| *n *= 0.98);
         self.by_share[share][0] += 1.0;
-        self.by_share[share][1] += failed;
+        self.by_share[share][1] += f64::from(u8::from(end == DeliveryEnd::Error));
         let time = (took.max(1) as f64).ln() + self.warmth(h).ln();
         // A mean that rests on few answers may be off by chance, which must not count against the build.
         let (rests_on, usual) = (self.ops[op].usual_seen, self.ops[op].usual);
@@ -895,7 +895,7 @@
             *wrong = (*wrong - WRONG_MARGIN).max(0.0);
             self.untold_answers = self.untold_answers.saturating_add(1);
             let gain = failed - self.old_fails[op] - FAIL_MARGIN;
-            self.found(h, op, gain * self.proof(share, self.old_fails[op]));
+            self.found(h, op, gain * self.proof(share));
             if known {
                 let excused = self.old_lag.max(self.by_load());
                 self.found(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
@@ -913,15 +913,14 @@
         }
     }
 
-    /// What a failure or its absence proves where so many fail anyway. Guards against commands that err at every
-    /// host alike: those of one customer beyond the others', or of all at the earlier build. It could harm
-    /// where a build fails one customer only.
-    fn proof(&self, share: usize, anyway: f64) -> f64 {
+    /// What a failure or its absence proves for a customer whose commands err far beyond the others'. Guards
+    /// against commands that err at every host alike; it could harm where a build fails one customer only.
+    fn proof(&self, share: usize) -> f64 {
         let [all, fails] = self.by_share.iter().fold([0.0; 2], |sum, n| [sum[0] + n[0], sum[1] + n[1]]);
         let [own, failed] = self.by_share[share];
         let rest = (fails - failed + 1.0) / (all - own + 2.0);
         let beyond = (failed - failed.sqrt()) / (own + 1.0) - rest;
-        FAIL_MARGIN / (FAIL_MARGIN + beyond.max(anyway - 0.02).max(0.0))
+        FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
 
     /// What this router saw by itself.
