--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -37,6 +37,8 @@
 const LATE_WEIGHT: f64 = 0.4;
 /// Answers that a router needs from a build before it votes on it.
 const ENOUGH_ANSWERS: u32 = 3;
+/// Hosts that must speak against a build at most: a router meets few of many hundred.
+const MOST_VOICES: f64 = 8.0;
 /// Routers that all evidence is told to where the fleet has more: what all tell all grows with the square.
 const LISTENERS: u32 = 8;
 /// Routers that each host is met by at least, so that their uneven traffic evens out.
@@ -937,7 +939,8 @@
     /// hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
-        let voices = [0.5, 0.5, 1.5].get(peers).copied().unwrap_or((0.4 * peers as f64).max(2.0));
+        let voices =
+            [0.5, 0.5, 1.5].get(peers).copied().unwrap_or((0.4 * peers as f64).clamp(2.0, MOST_VOICES));
         // A lone host that is slow may have a neighbour; what it costs to wait for a second one is little.
         let most = SEND_BACK_AT / if which == self.ops.len() { voices.max(1.5) } else { voices };
         let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
@@ -1068,7 +1071,10 @@
         let complete = count > 0 && count as f64 >= (share * self.ready().count() as f64).floor();
         let unlisted = Micros::from(!complete && latest <= self.stage_began);
         let from = latest.max(self.stage_began) + unlisted * 8 * SECOND;
-        let known = told.iter().map(|p| p.3).fold(self.seen_in_stage, u32::max) >= ENOUGH_ANSWERS;
+        // Where one vote is enough, what a quiet router has seen the whole fleet has seen many times over.
+        let alike = if self.gate == Gate::Majority { 1.0 } else { self.fleet };
+        let enough = (f64::from(ENOUGH_ANSWERS).powi(2) / alike).ceil().clamp(1.0, f64::from(ENOUGH_ANSWERS));
+        let known = f64::from(told.iter().map(|p| p.3).fold(self.seen_in_stage, u32::max)) >= enough;
         let top = told.iter().map(|p| p.2).fold(self.sum(), f64::max);
         let waited = self.now - from;
         let go = top < QUIET_BELOW && waited >= self.go_wait && (known || waited >= 3 * self.go_wait);
