--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -132,8 +132,8 @@
     chance: Chance,
     index: BTreeMap<HostId, usize>,
     hosts: Hosts,
-    /// By zone, how much slower than usual its hosts answer, as a logarithm.
-    ways: BTreeMap<ZoneId, f64>,
+    /// By zone, by op type and by customer, how much slower than usual answers come, as a logarithm.
+    ways: [Vec<f64>; 3],
     cmds: BTreeMap<CommandId, Command>,
     held: VecDeque<CommandId>,
     pins: BTreeMap<Key, Pin>,
@@ -557,8 +557,9 @@
             (Some(b), _, RepeatScope::Unknown) => b == h,
         };
         let mut near: Vec<usize> = self.ready_with(build).collect();
-        if near.iter().any(|&h| self.detour(h) == 0.0) {
-            near.retain(|&h| self.detour(h) == 0.0);
+        let at_hand = |h: &usize| self.detour(0, self.hosts.zone[*h].0.into()) == 0.0;
+        if near.iter().any(at_hand) {
+            near.retain(at_hand);
         }
         let of_own = self.keep_own(&mut near);
         let usable = |h: usize, of_own| {
@@ -827,7 +828,7 @@
             }
             DeliveryEnd::Full => self.hosts.shut_until[h] = self.hosts.shut_until[h].max(self.now + 100 * MS),
             DeliveryEnd::NotConnected => {
-                self.learn_way(h, 2.0);
+                self.learn_way(0, self.hosts.zone[h].0.into(), 2.0);
                 self.strike(h, SECOND / 2);
             }
             DeliveryEnd::Reset => self.strike(h, SECOND / 2),
@@ -839,16 +840,18 @@
         }
     }
 
-    fn learn_way(&mut self, h: usize, late: f64) {
-        let way = self.ways.entry(self.hosts.zone[h]).or_default();
-        *way += 0.15 * (late - *way);
+    fn learn_way(&mut self, kind: usize, n: usize, late: f64) {
+        let ways = &mut self.ways[kind];
+        ways.resize(ways.len().max(n + 1), f64::NAN);
+        ways[n] = if ways[n].is_nan() { 0.15 * late } else { ways[n] + 0.15 * (late - ways[n]) };
     }
 
-    /// By how much a host's whole zone answers slower than the best zone. Guards against a slow or broken way
-    /// between zones, which is neither the host's doing nor the build's; where all are slow it says nothing.
-    fn detour(&self, h: usize) -> f64 {
-        let best = self.ways.values().copied().fold(f64::INFINITY, f64::min);
-        self.ways.get(&self.hosts.zone[h]).map(|way| way - best).filter(|&more| more > FAR).unwrap_or(0.0)
+    /// By how much one zone, op type or customer is slower than the best, where that is far. Guards against a
+    /// slow or broken way between zones and against what waits at every host alike: neither is the host's doing
+    /// nor the build's. Where all are slow it says nothing.
+    fn detour(&self, kind: usize, n: usize) -> f64 {
+        let best = self.ways[kind].iter().copied().fold(f64::INFINITY, f64::min);
+        self.ways[kind].get(n).map(|way| way - best).filter(|&more| more > FAR).unwrap_or(0.0)
     }
 
     fn strike(&mut self, h: usize, pause: Micros) {
@@ -882,9 +885,12 @@
         let unsure = 1.0 / f64::from(rests_on.max(1)).sqrt();
         let late = if known { (time - usual - (unsure - 0.25).max(0.0)).clamp(-2.0, 2.0) } else { 0.0 };
         if known {
-            self.learn_way(h, late);
+            self.learn_way(0, self.hosts.zone[h].0.into(), late);
+            self.learn_way(1, op, late);
+            self.learn_way(2, share, late);
         }
-        let late = late - self.detour(h);
+        let ways = [(0, self.hosts.zone[h].0.into()), (1, op), (2, share)];
+        let late = late - ways.iter().map(|&(kind, n)| self.detour(kind, n)).fold(0.0, f64::max);
         self.hosts.lag[h] += 0.15 * (late - self.hosts.lag[h]);
         if known {
             self.judge_shared(late);
@@ -1115,7 +1121,7 @@
         let fade = (-(self.now - self.beaten) as f64 / SECOND as f64).exp();
         self.ops.iter_mut().for_each(|o| o.acks *= fade);
         // Forgotten in time, so that a way that has been mended is tried again.
-        self.ways.values_mut().for_each(|way| *way *= fade.powf(0.1));
+        self.ways.iter_mut().flatten().for_each(|way| *way *= fade.powf(0.1));
         self.served.iter_mut().for_each(|s| *s *= fade);
         self.flow = self.flow.map(|f| f * fade.powf(0.25));
         self.grow_lane();
