--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -722,6 +722,10 @@
         d.may_have_run = may_have_run(end);
         let (h, build, op, key, share) = (d.host, d.build, c.op, c.key, c.share);
         self.hosts.in_flight[h] = self.hosts.in_flight[h].saturating_sub(1);
+        if end == DeliveryEnd::Error && nth == 0 {
+            // What errs at once is no load: it must not excuse slowness.
+            self.flow[0] = (self.flow[0] - 1.0).max(0.0);
+        }
         if matches!(end, DeliveryEnd::Acked | DeliveryEnd::TimedOut) {
             let rules = &mut self.ops[op];
             let step = if took as f64 > rules.target * rules.strain.exp() { 0.2 } else { -0.2 };
@@ -871,6 +875,8 @@
             // One crash breaks all that was out at the host: that is one failure; a time-out is none where
             // the host has answered nobody meanwhile.
             DeliveryEnd::Reset if self.now >= self.hosts.shut_until[h] => 1.0,
+            // A time that the client cut short says little.
+            DeliveryEnd::TimedOut if (took as f64) < self.ops[op].target => return,
             DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes[h] == 0 => 1.0,
             _ => return,
         };
