--- a/crates/spokeflow-core/src/chance.rs
+++ b/crates/spokeflow-core/src/chance.rs
@@ -27,3 +27,11 @@
         ((u64::from(self.draw()) * bound as u64) >> 32) as usize
     }
 }
+
+/// Spreads a key evenly over 0 to 1: the same key, the same place.
+pub fn unit(key: u64) -> f64 {
+    let mut x = key.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (x ^ (x >> 31)) as f64 / 2f64.powi(64)
+}
--- a/crates/spokeflow-core/src/lib.rs
+++ b/crates/spokeflow-core/src/lib.rs
@@ -6,12 +6,14 @@
 mod egress;
 mod ids;
 mod router;
+mod talk;
 mod terms;
 
-pub use chance::Chance;
+pub use chance::{unit, Chance};
 pub use egress::{Egress, Verdict};
 pub use ids::{BuildId, CommandId, HostId, Key, Micros, OpType, ShareId, ZoneId};
 pub use router::Router;
+pub use talk::Talk;
 pub use terms::{
     DeliveryEnd, Gate, HostLine, HostPhase, ListKind, OpTerms, Repeat, RepeatScope, ServiceTerms, StageNews,
     Standing, VoteAnswer,
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -1,7 +1,7 @@
 //! The decision module: one `Router` a process, told what happens by calls, answering through `Egress`.
 //!
 //! How to call it: `Router::new` with the deployment's terms, then `at` with the time and one method for each
-//! thing that happens (`listed`, `told`, `command`, `delivery_ended`, `woken`, ...), in order. It acts by
+//! thing that happens (`listed`, `told`, `command`, `ended`, `woken`, ...), in order. It acts by
 //! calls on the `Egress` given along (`egress.rs`); terms and ids are plain types (`terms.rs`, `ids.rs`).
 //!
 //! A command runs the chain intake, lane, exposure, placement, dispatch; what comes back runs through settle,
@@ -17,45 +17,44 @@
 const SECOND: Micros = 1_000_000;
 /// How often what no event drives is looked at: holds, silent hosts, votes.
 const BEAT: Micros = 20 * MS;
-/// Part of the cap that the lane takes by itself; the rest is left to further deliveries and to chance.
+/// Part of the cap that the lane takes by itself, the rest being left to further deliveries and to chance, and
+/// how far keys follow the machines above that, so that keys which may not leave still find room.
 const LANE_OF_CAP: f64 = 0.7;
-/// How far keys follow the machines above that, so that keys which may not leave still find room.
 const REPIN_OF_CAP: f64 = 0.9;
 const LANE_GROWS: Micros = 2 * SECOND;
 const PIN_IDLE: Micros = 10 * SECOND;
-/// Taken off each judged delivery beside the earlier build's failure rate.
+/// Taken off each judged delivery beside the earlier build's failure rate, and off the reports of wrong
+/// answers: now and then a right one is reported.
 const FAIL_MARGIN: f64 = 0.02;
-/// Taken off the reports of wrong answers for each judged delivery: now and then a right one is reported.
 const WRONG_MARGIN: f64 = 0.01;
 const SEND_BACK_AT: f64 = 4.0;
 const HOLD_AT: f64 = 2.0;
-/// A build is quiet below this.
 const QUIET_BELOW: f64 = 1.0;
-/// Slowness, as a logarithm against the time before the trial, that is laid to chance and load.
+/// Slowness, as a logarithm against the time before the trial, that is laid to chance and load, and what one
+/// unit beyond it weighs in the judge's sum.
 const LATE_MARGIN: f64 = 0.6;
-/// What one unit of slowness beyond the margin weighs in the judge's sum.
 const LATE_WEIGHT: f64 = 0.4;
+/// Slowness of a zone, op type or customer against the best one from which it is theirs alone.
+const FAR: f64 = 1.2;
 /// Answers that a router needs from a build before it votes on it.
 const ENOUGH_ANSWERS: u32 = 3;
 /// Hosts that must speak against a build at most: a router meets few of many hundred.
 const MOST_VOICES: f64 = 8.0;
-/// Routers that all evidence is told to where the fleet has more: what all tell all grows with the square.
+/// Routers that all evidence is told to: what all tell all would grow with the square of the fleet.
 const LISTENERS: u32 = 8;
 /// Routers that each host is met by at least, so that their uneven traffic evens out.
 const MET_BY: f64 = 60.0;
+/// Part of the told multiple that a cold host is sent where the routers' demand fills it, which is rare.
+const COLD_PART: f64 = 1.4;
 /// Share of the commands that may be delivered again at a guess, and the most saved up.
 const SPARE_PER_COMMAND: f64 = 0.1;
 const SPARE_AT_MOST: f64 = 10.0;
-/// Parts of the service target: at hosts before they are crowded, waiting for a place, waiting before a
-/// second delivery where the host looks sick, and where it does not.
-const COLD_PART: f64 = 1.4;
+/// Parts of the service target: at hosts before they are crowded, median time before some are refused, waiting
+/// for a place, waiting before a second delivery where the host looks sick.
 const CROWDED_PART: f64 = 0.4;
 const STRAINED_PART: f64 = 0.5;
-/// Slowness of a zone against the best one, as a logarithm, from which its hosts are passed over.
-const FAR: f64 = 1.2;
 const HOLD_PART: f64 = 0.3;
 const DOUBT_PART: f64 = 0.35;
-const PATIENCE_PART: f64 = 0.75;
 
 struct OpRules {
     repeat: Repeat,
@@ -101,13 +100,9 @@
 /// Figures about hosts, in parallel arrays under a dense index.
 #[derive(Default)]
 struct Hosts {
-    id: Vec<HostId>,
+    /// What the list last said.
+    line: Vec<HostLine>,
     build: Vec<BuildId>,
-    build_before: Vec<BuildId>,
-    cell: Vec<u16>,
-    zone: Vec<ZoneId>,
-    phase: Vec<HostPhase>,
-    started: Vec<Option<Micros>>,
     in_flight: Vec<u32>,
     /// Sent in the last slot of time, and which that was.
     sent: Vec<u32>,
@@ -196,6 +191,7 @@
     vote_life: Micros,
     vote_wait: Micros,
     complaint_weight: f64,
+    late_weight: f64,
 }
 
 impl Router {
@@ -210,6 +206,7 @@
             acks: 0.0,
             strain: -2.0,
         });
+        let alone = if terms.gate == Gate::Majority { 1.0 } else { f64::from(terms.fleet_size) / 8.0 };
         out.wake(now + BEAT);
         if terms.list_must_be_asked {
             out.watch_list();
@@ -252,6 +249,8 @@
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
             complaint_weight: (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5),
+            // Of many routers that may each send back alone, the unluckiest would: chance counts for less.
+            late_weight: LATE_WEIGHT / (1.0 + 0.25 * alone.max(1.0).ln()),
             ..Router::default()
         }
     }
@@ -271,10 +270,8 @@
         }
         if kind != ListKind::Changes {
             let named: BTreeSet<HostId> = lines.iter().map(|line| line.host).collect();
-            for h in 0..self.hosts.id.len() {
-                if !named.contains(&self.hosts.id[h]) {
-                    self.hosts.phase[h] = HostPhase::Gone;
-                }
+            for line in self.hosts.line.iter_mut().filter(|line| !named.contains(&line.host)) {
+                line.phase = HostPhase::Gone;
             }
         }
         for line in lines {
@@ -292,7 +289,7 @@
     }
 
     fn ready(&self) -> impl Iterator<Item = usize> + '_ {
-        (0..self.hosts.id.len()).filter(|&h| self.hosts.phase[h] == HostPhase::Ready)
+        (0..self.hosts.line.len()).filter(|&h| self.hosts.line[h].phase == HostPhase::Ready)
     }
 
     fn ready_with(&self, build: BuildId) -> impl Iterator<Item = usize> + '_ {
@@ -383,12 +380,8 @@
     /// what is out says nothing: the part that would bring the median time back to half the service target
     /// is taken, the rest nacked. It could harm where an op type is slow for a reason that shedding cannot mend.
     fn strain(&self, op: usize) -> f64 {
-        let thin = CROWDED_PART * self.returns() < 2.0;
-        if thin {
-            self.ops[op].strain - STRAINED_PART.ln()
-        } else {
-            0.0
-        }
+        let thin = f64::from(u8::from(CROWDED_PART * self.returns() < 2.0));
+        thin * (self.ops[op].strain - STRAINED_PART.ln())
     }
 
     /// What comes back within a service target.
@@ -461,11 +454,7 @@
             Some(_) => in_lane && self.trial_share(new, old) > self.exposed_share(new),
             None => in_lane,
         };
-        if takes_new {
-            [trial, stable]
-        } else {
-            [stable, None]
-        }
+        [if takes_new { trial } else { stable }, stable.filter(|_| takes_new)]
     }
 
     /// The newest build that is free for all, and the newest on trial, each with a ready host.
@@ -486,8 +475,9 @@
 
     /// The least part of its capacity that a host can have by now.
     fn warmth(&self, h: usize) -> f64 {
-        let age =
-            self.hosts.started[h].map_or(self.warm_within, |at| (self.now - at).clamp(0, self.warm_within));
+        let age = self.hosts.line[h]
+            .started
+            .map_or(self.warm_within, |at| (self.now - at).clamp(0, self.warm_within));
         self.cold_from + (1.0 - self.cold_from) * age as f64 / self.warm_within as f64
     }
 
@@ -552,12 +542,12 @@
         let bound = c.deliveries.iter().find(|d| d.may_have_run).map(|d| d.host);
         let drops_repeats = |h: usize| match (bound, rules.repeat, rules.scope) {
             (None, _, _) | (_, Repeat::Redeliverable, _) | (_, _, RepeatScope::All) => true,
-            (Some(b), _, RepeatScope::Zone) => self.hosts.zone[b] == self.hosts.zone[h],
-            (Some(b), _, RepeatScope::Cell) => self.hosts.cell[b] == self.hosts.cell[h],
+            (Some(b), _, RepeatScope::Zone) => self.hosts.line[b].zone == self.hosts.line[h].zone,
+            (Some(b), _, RepeatScope::Cell) => self.hosts.line[b].cell == self.hosts.line[h].cell,
             (Some(b), _, RepeatScope::Unknown) => b == h,
         };
         let mut near: Vec<usize> = self.ready_with(build).collect();
-        let at_hand = |h: &usize| self.detour(0, self.hosts.zone[*h].0.into()) == 0.0;
+        let at_hand = |h: &usize| self.detour(0, self.hosts.line[*h].zone.0.into()) == 0.0;
         if near.iter().any(at_hand) {
             near.retain(at_hand);
         }
@@ -598,7 +588,8 @@
         let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
         let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
         if own < hosts.len() {
-            let rank = |h: &usize| unit(u64::from(self.hosts.id[*h].0) << 32 | u64::from(self.own_index));
+            let rank =
+                |h: &usize| unit(u64::from(self.hosts.line[*h].host.0) << 32 | u64::from(self.own_index));
             hosts.select_nth_unstable_by(own, |a, b| rank(a).total_cmp(&rank(b)));
             let of_own = hosts.len() as f64 / own as f64;
             hosts.truncate(own);
@@ -632,12 +623,13 @@
     /// add up to the bound and none is saved up. What is sent counts: a host that errs fast would else be sent
     /// any number. One that has failed gets one command at a time.
     fn may_take(&self, h: usize, of_own: f64) -> bool {
-        let age = self.now - self.hosts.started[h].unwrap_or(0);
-        if self.hosts.started[h].is_some() && age < self.warm_within + SECOND {
+        let age = self.now - self.hosts.line[h].started.unwrap_or(0);
+        if self.hosts.line[h].started.is_some() && age < self.warm_within + SECOND {
             let slot = self.now / self.cold_slot;
             let sent = if self.hosts.slot[h] == slot { self.hosts.sent[h] } else { 0 };
-            let draw =
-                unit(u64::from(self.hosts.id[h].0) << 32 | u64::from(self.own_index) ^ (slot as u64) << 12);
+            let draw = unit(
+                u64::from(self.hosts.line[h].host.0) << 32 | u64::from(self.own_index) ^ (slot as u64) << 12,
+            );
             let part = self.cold_part * self.warmth(h).max(0.6) * self.pace * of_own + draw;
             if f64::from(sent + 1) > part || self.hosts.in_flight[h] > 1 + self.hosts.answers[h] {
                 return false;
@@ -665,28 +657,22 @@
         }
         self.hosts.sent[host] += 1;
         self.served[c.share] += 1.0;
-        out.deliver(cmd, self.hosts.id[host], None);
+        out.deliver(cmd, self.hosts.line[host].host, None);
     }
 
-    /// A second delivery for a command whose first is slow, where the op type allows a repeat: beside the
-    /// first where copies may run together, else in its place, and then only if its host looks sick.
+    /// A second delivery for a command whose first is at a host that looks sick, where the op type allows a
+    /// repeat: beside the first where copies may run together, else in its place.
     fn hurry(&mut self, out: Out) {
         let due = |c: &Command| {
             let Some(d) = c.deliveries.last().filter(|d| d.open && !d.started && !c.ended) else {
                 return false;
             };
             let doubt = self.mute(d.host) || self.hosts.lag[d.host] > 0.7;
-            let part = if doubt { DOUBT_PART } else { PATIENCE_PART };
-            let slow = (self.now - d.sent) as f64 > self.ops[c.op].target * part;
-            slow && (doubt || self.side_by_side && self.strain(c.op) <= 0.0)
-                && self.may_redeliver(c)
-                && c.until - self.now > 4 * BEAT
+            let slow = (self.now - d.sent) as f64 > self.ops[c.op].target * DOUBT_PART;
+            doubt && slow && self.may_redeliver(c) && c.until - self.now > 4 * BEAT
         };
         let due: Vec<CommandId> = self.cmds.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
-        for cmd in due {
-            if self.spare < 1.0 {
-                return;
-            }
+        for cmd in due.into_iter().take(self.spare as usize) {
             if self.side_by_side {
                 self.spare -= f64::from(u8::from(self.route(cmd, out)));
             } else if self.may_cancel {
@@ -707,15 +693,7 @@
         }
     }
 
-    pub fn delivery_ended(
-        &mut self,
-        cmd: CommandId,
-        nth: u8,
-        end: DeliveryEnd,
-        took: Micros,
-        done: bool,
-        out: Out,
-    ) {
+    pub fn ended(&mut self, cmd: CommandId, nth: u8, end: DeliveryEnd, took: Micros, done: bool, out: Out) {
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
         let Some(d) = c.deliveries.get_mut(usize::from(nth)).filter(|d| d.open) else { return };
         d.open = false;
@@ -765,15 +743,17 @@
         }
     }
 
+    /// The memory counts from the first delivery, even where it has since been proven not to have run: it was
+    /// out when the next was sent.
     fn may_redeliver(&self, c: &Command) -> bool {
         let rules = &self.ops[c.op];
-        let ran = c.deliveries.iter().filter(|d| d.may_have_run).map(|d| d.sent).min();
-        c.deliveries.len() < self.delivery_cap
-            && match (ran, rules.repeat) {
-                (None, _) | (_, Repeat::Redeliverable) => true,
-                (Some(first), Repeat::Deduplicated) => self.now + BEAT < first + rules.memory,
-                (Some(_), Repeat::AtMostOnce) => false,
-            }
+        let ran = c.deliveries.iter().any(|d| d.may_have_run);
+        let allowed = match rules.repeat {
+            Repeat::Redeliverable => true,
+            Repeat::Deduplicated => !ran || self.now + BEAT < c.deliveries[0].sent + rules.memory,
+            Repeat::AtMostOnce => !ran,
+        };
+        allowed && c.deliveries.len() < self.delivery_cap
     }
 
     /// The final answer where nothing more can be done: a nack wherever trying again is harmless.
@@ -832,7 +812,7 @@
             }
             DeliveryEnd::Full => self.hosts.shut_until[h] = self.hosts.shut_until[h].max(self.now + 100 * MS),
             DeliveryEnd::NotConnected => {
-                self.learn_way(0, self.hosts.zone[h].0.into(), 2.0);
+                self.learn_way(0, self.hosts.line[h].zone.0.into(), 2.0);
                 self.strike(h, SECOND / 2);
             }
             DeliveryEnd::Reset => self.strike(h, SECOND / 2),
@@ -890,13 +870,11 @@
         let known = acked && rests_on >= 5;
         let unsure = 1.0 / f64::from(rests_on.max(1)).sqrt();
         let late = if known { (time - usual - (unsure - 0.25).max(0.0)).clamp(-2.0, 2.0) } else { 0.0 };
+        let ways = [(0, self.hosts.line[h].zone.0.into()), (1, op), (2, share)];
         if known {
-            self.learn_way(0, self.hosts.zone[h].0.into(), late);
-            self.learn_way(1, op, late);
-            self.learn_way(2, share, late);
+            ways.iter().for_each(|&(kind, n)| self.learn_way(kind, n, late));
         }
-        let ways = [(0, self.hosts.zone[h].0.into()), (1, op), (2, share)];
-        let late = late - ways.iter().map(|&(kind, n)| self.detour(kind, n)).fold(0.0, f64::max);
+        let late = late - ways.map(|(kind, n)| self.detour(kind, n)).into_iter().fold(0.0, f64::max);
         self.hosts.lag[h] += 0.15 * (late - self.hosts.lag[h]);
         if known {
             self.judge_shared(late);
@@ -912,7 +890,7 @@
             self.found(h, op, gain * self.proof(share));
             if known {
                 let excused = self.old_lag.max(self.by_load());
-                self.found(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
+                self.found(h, self.ops.len(), self.late_weight * (late - excused - LATE_MARGIN));
             }
             return;
         }
@@ -940,7 +918,7 @@
     /// What this router saw by itself.
     fn found(&mut self, h: usize, which: usize, gain: f64) {
         if self.may_tell {
-            *self.untold.entry((self.hosts.id[h], which as u8)).or_default() += gain;
+            *self.untold.entry((self.hosts.line[h].host, which as u8)).or_default() += gain;
         }
         self.add(h, which, gain);
     }
@@ -995,7 +973,7 @@
     fn judge_shared(&mut self, late: f64) {
         let judged = self.news.is_some_and(|n| !self.sent_back(n.build)) && self.seen > 0;
         if judged && self.usual_load[1] > 0.0 {
-            let gain = LATE_WEIGHT * (late.min(1.5) - self.by_load() - LATE_MARGIN);
+            let gain = self.late_weight * (late.min(1.5) - self.by_load() - LATE_MARGIN);
             let sum = self.sums.last_mut().expect("made at start");
             *sum = (*sum + gain).max(0.0);
         }
@@ -1003,9 +981,11 @@
 
     pub fn disputed(&mut self, host: HostId, since: Micros) {
         let Some(&h) = self.index.get(&host) else { return };
-        // The answer may be that of the process before this one.
-        let before = self.hosts.started[h].is_some_and(|at| self.now - since < at);
-        let build = if before { self.hosts.build_before[h] } else { self.hosts.build[h] };
+        // An answer of the process before this one says nothing of its build.
+        let build = self.hosts.build[h];
+        if self.hosts.line[h].started.is_some_and(|at| self.now - since < at) {
+            return;
+        }
         if self.news.is_some_and(|n| build >= n.build) && !self.sent_back(build) {
             // Reports are few, and the many good answers between them must not wash them out.
             self.sums[self.ops.len() + 1] += self.complaint_weight;
@@ -1022,40 +1002,37 @@
     /// Guards against thin traffic: no router of many sees enough by itself, so eight sum up what all see,
     /// host by host as if they had seen it, and tell the others how it stands. A lost message is lost proof.
     pub fn heard(&mut self, sender: u32, text: &[u8]) {
-        let [kind, b1, b0, answers, rest @ ..] = text else { return };
-        let (build, answers) = (BuildId(u16::from_be_bytes([*b1, *b0])), u32::from(*answers));
-        if self.news.is_none_or(|n| n.build != build) {
-            return;
-        }
-        if let (1, [sum]) = (kind, rest) {
-            self.peers.insert(sender, (self.now, build, f64::from(*sum) / 10.0, answers));
-        } else if *kind == 2 {
-            self.seen += answers;
-            self.seen_in_stage += answers;
-            for part in rest.chunks_exact(7) {
-                let host = HostId(u32::from_be_bytes([part[0], part[1], part[2], part[3]]));
-                let gain = f64::from(i16::from_be_bytes([part[5], part[6]])) / 100.0;
-                let known = self.index.get(&host).filter(|&&h| self.hosts.build[h] == build);
-                if let Some(&h) = known.filter(|_| usize::from(part[4]) < self.sums.len()) {
-                    self.add(h, usize::from(part[4]), gain);
+        let present = self.news.map(|n| n.build);
+        match Talk::read(text) {
+            Some(Talk::Stands { build, answers, sum }) if Some(build) == present => {
+                self.peers.insert(sender, (self.now, build, sum, u32::from(answers)));
+            }
+            Some(Talk::Found { build, answers, gains }) if Some(build) == present => {
+                self.seen += u32::from(answers);
+                self.seen_in_stage += u32::from(answers);
+                for (host, which, gain) in gains {
+                    let known = self.index.get(&host).filter(|&&h| self.hosts.build[h] == build);
+                    if let Some(&h) = known.filter(|_| usize::from(which) < self.sums.len()) {
+                        self.add(h, usize::from(which), gain);
+                    }
                 }
             }
+            _ => {}
         }
     }
 
     fn tell(&mut self, build: BuildId, out: Out) {
-        let ([b1, b0], listeners) = (build.0.to_be_bytes(), self.listeners(build));
-        let mut text = vec![2, b1, b0, std::mem::take(&mut self.untold_answers)];
-        for ((host, which), gain) in std::mem::take(&mut self.untold).into_iter().take(36) {
-            text.extend(host.0.to_be_bytes());
-            text.push(which);
-            text.extend(((gain * 100.0) as i16).to_be_bytes());
-        }
-        for &router in listeners.iter().filter(|&&r| text.len() > 4 && r != self.own_index) {
-            out.tell(Some(router), &text);
+        let listeners = self.listeners(build);
+        let answers = std::mem::take(&mut self.untold_answers);
+        let gains: Vec<_> =
+            std::mem::take(&mut self.untold).into_iter().map(|((h, n), g)| (h, n, g)).collect();
+        if !gains.is_empty() {
+            let text = Talk::Found { build, answers, gains }.write();
+            listeners.iter().filter(|r| **r != self.own_index).for_each(|r| out.tell(Some(*r), &text));
         }
         if listeners.contains(&self.own_index) && self.fleet > f64::from(LISTENERS) && self.seen > 0 {
-            out.tell(None, &[1, b1, b0, self.seen.min(255) as u8, (self.sum() * 10.0).min(255.0) as u8]);
+            let answers = self.seen.min(255) as u8;
+            out.tell(None, &Talk::Stands { build, answers, sum: self.sum() }.write());
         }
     }
 
@@ -1078,7 +1055,8 @@
             return (self.sum() > HOLD_AT).then_some((news.build, news.stage, Verdict::Hold));
         }
         let count = self.ready_with(news.build).count();
-        let latest = self.ready_with(news.build).filter_map(|h| self.hosts.started[h]).max().unwrap_or(0);
+        let latest =
+            self.ready_with(news.build).filter_map(|h| self.hosts.line[h].started).max().unwrap_or(0);
         let share = self.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
         let complete = count > 0 && count as f64 >= (share * self.ready().count() as f64).floor();
         let unlisted = Micros::from(!complete && latest <= self.stage_began);
@@ -1165,47 +1143,27 @@
     !matches!(end, DeliveryEnd::Full | DeliveryEnd::NotConnected | DeliveryEnd::NotSent)
 }
 
-/// Spreads a key evenly over 0 to 1.
-fn unit(key: u64) -> f64 {
-    let mut x = key.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (x ^ (x >> 31)) as f64 / 2f64.powi(64)
-}
-
 impl Hosts {
     fn add(&mut self, line: &HostLine) -> usize {
-        let build = line.build.unwrap_or_default();
-        self.id.push(line.host);
-        self.build.push(build);
-        self.build_before.push(build);
-        self.cell.push(line.cell);
-        self.zone.push(line.zone);
-        self.phase.push(line.phase);
-        self.started.push(line.started);
-        [&mut self.in_flight, &mut self.sent, &mut self.answers, &mut self.strikes]
-            .into_iter()
-            .for_each(|v| v.push(0));
-        [&mut self.shut_until, &mut self.mute_since, &mut self.slot]
-            .into_iter()
-            .for_each(|v| v.push(Micros::MIN));
+        self.line.push(*line);
+        self.build.push(line.build.unwrap_or_default());
+        [&mut self.in_flight, &mut self.sent].into_iter().for_each(|v| v.push(0));
+        [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v.push(0));
+        [&mut self.shut_until, &mut self.mute_since].into_iter().for_each(|v| v.push(Micros::MIN));
         [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v.push(0.0));
-        self.id.len() - 1
+        self.slot.push(Micros::MIN);
+        self.line.len() - 1
     }
 
     fn update(&mut self, h: usize, line: &HostLine) {
         let build = line.build.unwrap_or(self.build[h]);
-        if self.started[h] != line.started || self.build[h] != build {
+        if self.line[h].started != line.started || self.build[h] != build {
             // Another process, maybe another machine: nothing learned of the one before holds.
-            self.build_before[h] = self.build[h];
             self.build[h] = build;
-            self.started[h] = line.started;
             [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
             [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
             self.shut_until[h] = Micros::MIN;
         }
-        self.cell[h] = line.cell;
-        self.zone[h] = line.zone;
-        self.phase[h] = line.phase;
+        self.line[h] = *line;
     }
 }
--- a/crates/spokeflow-core/tests/common/mod.rs
+++ b/crates/spokeflow-core/tests/common/mod.rs
@@ -184,7 +184,7 @@
                 *newest = build.max(*newest);
             }
         }
-        router.at(self.now).delivery_ended(cmd, nth as u8, end, took, closed, self);
+        router.at(self.now).ended(cmd, nth as u8, end, took, closed, self);
     }
 
     /// Lets time pass: wakes the module when it asked for it and runs deliveries out at the client's time.
--- a/crates/spokeflow-wirehost/src/main.rs
+++ b/crates/spokeflow-wirehost/src/main.rs
@@ -151,7 +151,7 @@
                 let latency = f.time()?;
                 let finished = f.u8()? != 0;
                 f.load()?;
-                router.delivery_ended(cmd, delivery, end, latency, finished, out);
+                router.ended(cmd, delivery, end, latency, finished, out);
             }
             5 => router.end(CommandId(f.u32()?), out),
             6 => {
