--- a/crates/spokeflow-core/src/lib.rs
+++ b/crates/spokeflow-core/src/lib.rs
@@ -6,6 +6,7 @@
 mod egress;
 mod ids;
 mod router;
+mod state;
 mod talk;
 mod terms;
 
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -1,37 +1,35 @@
 //! The decision module: one `Router` a process, told what happens by calls, answering through `Egress`.
 //!
 //! How to call it: `Router::new` with the deployment's terms, then `at` with the time and one method for each
-//! thing that happens (`listed`, `told`, `command`, `ended`, `woken`, ...), in order. It acts by
-//! calls on the `Egress` given along (`egress.rs`); terms and ids are plain types (`terms.rs`, `ids.rs`).
+//! thing that happens (`listed`, `told`, `command`, `ended`, `woken`, ...), in order. It acts by calls on the
+//! `Egress` given along (`egress.rs`); terms and ids are plain types, what it keeps in mind is in `state.rs`.
 //!
 //! A command runs the chain intake, lane, exposure, placement, dispatch; what comes back runs through settle,
 //! health and the judge. `docs/design.md` tells what was kept of the design and what was added, and why.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::state::{Command, Delivery, Hosts, OpRules, Pin};
 use crate::*;
 
 type Out<'a> = &'a mut dyn Egress;
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
-/// How often what no event drives is looked at: holds, silent hosts, votes.
 const BEAT: Micros = 20 * MS;
-/// Part of the cap that the lane takes by itself, the rest being left to further deliveries and to chance, and
-/// how far keys follow the machines above that, so that keys which may not leave still find room.
+/// Part of the cap that the lane takes by itself, and how far keys follow the machines above that, so that
+/// further deliveries and keys which may not leave still find room.
 const LANE_OF_CAP: f64 = 0.7;
 const REPIN_OF_CAP: f64 = 0.9;
 const LANE_GROWS: Micros = 2 * SECOND;
 const PIN_IDLE: Micros = 10 * SECOND;
-/// Taken off each judged delivery beside the earlier build's failure rate, and off the reports of wrong
-/// answers: now and then a right one is reported.
+/// Taken off each judged delivery beside the earlier build's rate, and off the reports of wrong answers.
 const FAIL_MARGIN: f64 = 0.02;
 const WRONG_MARGIN: f64 = 0.01;
 const SEND_BACK_AT: f64 = 4.0;
 const HOLD_AT: f64 = 2.0;
 const QUIET_BELOW: f64 = 1.0;
-/// Slowness, as a logarithm against the time before the trial, that is laid to chance and load, and what one
-/// unit beyond it weighs in the judge's sum.
+/// Slowness, as a logarithm, that is laid to chance, and what one unit beyond it weighs in the judge's sum.
 const LATE_MARGIN: f64 = 0.6;
 const LATE_WEIGHT: f64 = 0.4;
 /// Slowness of a zone, op type or customer against the best one from which it is theirs alone.
@@ -56,70 +54,6 @@
 const HOLD_PART: f64 = 0.3;
 const DOUBT_PART: f64 = 0.35;
 
-struct OpRules {
-    repeat: Repeat,
-    scope: RepeatScope,
-    memory: Micros,
-    target: f64,
-    /// Mean logarithm of the time to an answer and how many it rests on; learned only while none is on trial.
-    usual: f64,
-    usual_seen: u32,
-    /// Acks of the last second or so, fading.
-    acks: f64,
-    /// Median time to an answer over the service target, as a logarithm.
-    strain: f64,
-}
-
-struct Delivery {
-    host: usize,
-    build: BuildId,
-    sent: Micros,
-    open: bool,
-    may_have_run: bool,
-    started: bool,
-}
-
-struct Command {
-    op: usize,
-    key: Key,
-    share: usize,
-    place: f64,
-    taken: Micros,
-    until: Micros,
-    ended: bool,
-    deliveries: Vec<Delivery>,
-}
-
-struct Pin {
-    build: BuildId,
-    used: Micros,
-    /// The newest build that has answered this key: under one-way rules no way leads below it.
-    answered_by: Option<BuildId>,
-}
-
-/// Figures about hosts, in parallel arrays under a dense index.
-#[derive(Default)]
-struct Hosts {
-    /// What the list last said.
-    line: Vec<HostLine>,
-    build: Vec<BuildId>,
-    in_flight: Vec<u32>,
-    /// Sent in the last slot of time, and which that was.
-    sent: Vec<u32>,
-    slot: Vec<Micros>,
-    /// Acked by the present process.
-    answers: Vec<u32>,
-    strikes: Vec<u32>,
-    shut_until: Vec<Micros>,
-    errors: Vec<f64>,
-    /// How much slower than usual the host answers, as a logarithm.
-    lag: Vec<f64>,
-    /// Since when nothing has come back while something is out.
-    mute_since: Vec<Micros>,
-    /// The host's part of the judge's sum.
-    blame: Vec<f64>,
-}
-
 #[derive(Default)]
 pub struct Router {
     now: Micros,
@@ -180,7 +114,7 @@
     cold_slot: Micros,
     cold_part: f64,
     gate: Gate,
-    stage_caps: Vec<f64>,
+    first_cap: f64,
     stage_shares: Vec<f64>,
     free: f64,
     span: Micros,
@@ -196,16 +130,6 @@
 
 impl Router {
     pub fn new(terms: &ServiceTerms, seed: u64, now: Micros, out: Out) -> Self {
-        let ops = terms.ops.iter().map(|op| OpRules {
-            repeat: op.repeat,
-            scope: op.repeat_scope,
-            memory: op.repeat_memory,
-            target: op.service_target as f64,
-            usual: 0.0,
-            usual_seen: 0,
-            acks: 0.0,
-            strain: -2.0,
-        });
         let alone = if terms.gate == Gate::Majority { 1.0 } else { f64::from(terms.fleet_size) / 8.0 };
         out.wake(now + BEAT);
         if terms.list_must_be_asked {
@@ -213,7 +137,7 @@
         }
         Router {
             now,
-            ops: ops.collect(),
+            ops: terms.ops.iter().map(OpRules::new).collect(),
             served: vec![0.0; terms.shares.len().max(1)],
             shares: if terms.shares.is_empty() { vec![1.0] } else { terms.shares.clone() },
             sums: vec![0.0; terms.ops.len() + 3],
@@ -234,10 +158,9 @@
             cold_from: terms.cold_from.clamp(0.05, 1.0),
             warm_within: terms.warm_within.max(1),
             cold_slot: (terms.fall_span / 3).max(1),
-            // A window meets one slot more than it is long.
-            cold_part: COLD_PART * terms.fall_multiple * (terms.fall_span / 3).max(1) as f64 / SECOND as f64,
+            cold_part: COLD_PART * terms.fall_multiple * (terms.fall_span / 3) as f64 / SECOND as f64,
             gate: terms.gate,
-            stage_caps: terms.stage_caps.clone(),
+            first_cap: terms.stage_caps.first().copied().unwrap_or(0.0),
             stage_shares: terms.stage_shares.clone(),
             free: terms.exposure_free,
             span: terms.exposure_span,
@@ -284,8 +207,8 @@
     pub fn list_failed(&mut self) {
         // The notice does not say whether a subscription still stands: asking again is the only safe reading.
         self.ask_pause = (self.ask_pause * 2).clamp(SECOND / 2, 4 * SECOND);
-        let spread = self.chance.below(self.ask_pause as usize / 2) as Micros;
-        self.ask_list_at = Some(self.now + self.ask_pause + spread);
+        let spread = self.chance.below(self.ask_pause as usize / 2);
+        self.ask_list_at = Some(self.now + self.ask_pause + spread as Micros);
     }
 
     fn ready(&self) -> impl Iterator<Item = usize> + '_ {
@@ -302,16 +225,13 @@
         let before = self.news.replace(news);
         let same_build = before.is_some_and(|b| b.build == news.build);
         if !same_build {
+            (self.seen, self.untold) = (0, BTreeMap::new());
             self.sums.fill(0.0);
-            self.seen = 0;
             self.hosts.blame.fill(0.0);
-            self.untold.clear();
         }
         if !same_build || before.is_some_and(|b| b.stage != news.stage || b.standing != news.standing) {
             self.stage_began = self.now - news.age;
-            self.seen_in_stage = 0;
-            self.vote = None;
-            self.vote_again_at = self.now;
+            (self.seen_in_stage, self.vote, self.vote_again_at) = (0, None, self.now);
         }
         if self.sent_back(news.build) {
             // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
@@ -343,10 +263,7 @@
     }
 
     fn cap(&self, build: BuildId) -> f64 {
-        match &self.news {
-            Some(n) if n.build == build => n.cap,
-            _ => self.stage_caps.first().copied().unwrap_or(0.0),
-        }
+        self.news.filter(|n| n.build == build).map_or(self.first_cap, |n| n.cap)
     }
 
     fn sent_back(&self, build: BuildId) -> bool {
@@ -362,7 +279,7 @@
             return out.nack(cmd, None);
         }
         self.flow[0] += 1.0;
-        self.taken.push_back((self.now, self.slot(op)));
+        self.taken.push_back((self.now, op * usize::from(self.by_op)));
         self.spare = (self.spare + SPARE_PER_COMMAND).min(SPARE_AT_MOST);
         let place = unit(if key.0 == 0 { u64::from(cmd.0) | 1 << 40 } else { key.0 });
         let (taken, until, deliveries) = (self.now, self.now + left, Vec::new());
@@ -380,8 +297,12 @@
     /// what is out says nothing: the part that would bring the median time back to half the service target
     /// is taken, the rest nacked. It could harm where an op type is slow for a reason that shedding cannot mend.
     fn strain(&self, op: usize) -> f64 {
-        let thin = f64::from(u8::from(CROWDED_PART * self.returns() < 2.0));
-        thin * (self.ops[op].strain - STRAINED_PART.ln())
+        let thin = CROWDED_PART * self.returns() < 2.0;
+        if thin {
+            self.ops[op].strain - STRAINED_PART.ln()
+        } else {
+            0.0
+        }
     }
 
     /// What comes back within a service target.
@@ -400,17 +321,15 @@
                 full = true;
             } else if let Some(host) = self.place(cmd, build) {
                 if key.0 != 0 {
-                    let pin =
-                        self.pins.entry(key).or_insert(Pin { build, used: self.now, answered_by: None });
+                    let pin = self.pins.entry(key).or_default();
                     (pin.build, pin.used) = (build, self.now);
                 }
                 self.dispatch(cmd, host, out);
                 return true;
             }
         }
-        let Some(c) = self.cmds.get(&cmd).filter(|c| c.deliveries.iter().all(|d| !d.open)) else {
-            return false;
-        };
+        let waits = |c: &&Command| c.deliveries.iter().all(|d| !d.open);
+        let Some(c) = self.cmds.get(&cmd).filter(waits) else { return false };
         let wait_until = (c.taken + (self.ops[op].target * HOLD_PART) as Micros).min(c.until - 2 * BEAT);
         // A full counter under one-way rules is refused at once: the client comes back when there is room.
         if full && floor.is_some() || self.now >= wait_until {
@@ -421,8 +340,7 @@
         false
     }
 
-    /// Those that wait go by what their customer has had of its share, so that where not all can be served
-    /// the ones far beyond their share wait in vain. Without shares they go in turn.
+    /// Those that wait go by what their customer has had of its share: the ones far beyond it wait in vain.
     fn place_held(&mut self, out: Out) {
         let mut held = std::mem::take(&mut self.held);
         let had =
@@ -435,8 +353,7 @@
 
     // ---- Lane ----
 
-    /// The builds to try, best first. Pins keep a key at its build; the lane takes keys to the build on
-    /// trial.
+    /// The builds to try, best first. Pins keep a key at its build; the lane takes keys to the one on trial.
     fn choose_builds(&self, c: &Command, floor: Option<BuildId>) -> [Option<BuildId>; 2] {
         let (stable, trial) = self.candidates();
         let open = |b: &BuildId| floor.is_none_or(|f| *b >= f);
@@ -451,7 +368,10 @@
         let takes_new = match pin {
             Some(pin) if pin.build == new => true,
             // The earlier build's machines have become fewer than its share of the pinned keys.
-            Some(_) => in_lane && self.trial_share(new, old) > self.exposed_share(new),
+            Some(_) => {
+                let exposed = self.exposed.iter().filter(|e| e.2 == new).count() as f64;
+                in_lane && self.trial_share(new, old) * self.taken.len().max(1) as f64 > exposed
+            }
             None => in_lane,
         };
         [if takes_new { trial } else { stable }, stable.filter(|_| takes_new)]
@@ -469,16 +389,11 @@
         self.ready_with(new).map(|h| self.warmth(h)).sum::<f64>() / all.max(1e-9)
     }
 
-    fn exposed_share(&self, new: BuildId) -> f64 {
-        self.exposed.iter().filter(|e| e.2 == new).count() as f64 / self.taken.len().max(1) as f64
-    }
-
     /// The least part of its capacity that a host can have by now.
     fn warmth(&self, h: usize) -> f64 {
-        let age = self.hosts.line[h]
-            .started
-            .map_or(self.warm_within, |at| (self.now - at).clamp(0, self.warm_within));
-        self.cold_from + (1.0 - self.cold_from) * age as f64 / self.warm_within as f64
+        let Some(at) = self.hosts.line[h].started else { return 1.0 };
+        let age = (self.now - at).clamp(0, self.warm_within) as f64 / self.warm_within as f64;
+        self.cold_from + (1.0 - self.cold_from) * age
     }
 
     /// The lane grows towards its part of the cap, as far as the trial machines listed ready bear it, and
@@ -499,10 +414,6 @@
 
     // ---- Exposure ----
 
-    fn slot(&self, op: usize) -> usize {
-        op * usize::from(self.by_op)
-    }
-
     fn room(&mut self, build: BuildId, op: usize) -> bool {
         if !self.on_trial(build) {
             return true;
@@ -513,7 +424,7 @@
             return false;
         }
         self.forget_window();
-        let slot = self.slot(op);
+        let slot = op * usize::from(self.by_op);
         let taken = self.taken.iter().filter(|t| t.1 == slot).count() as f64;
         let sent = self.exposed.iter().filter(|t| t.1 == slot && t.2 == build).count() as f64;
         sent + 1.0 <= self.free + cap * taken
@@ -538,7 +449,6 @@
         }
         let c = &self.cmds[&cmd];
         let rules = &self.ops[c.op];
-        let at_most_once = rules.repeat == Repeat::AtMostOnce;
         let bound = c.deliveries.iter().find(|d| d.may_have_run).map(|d| d.host);
         let drops_repeats = |h: usize| match (bound, rules.repeat, rules.scope) {
             (None, _, _) | (_, Repeat::Redeliverable, _) | (_, _, RepeatScope::All) => true,
@@ -546,11 +456,8 @@
             (Some(b), _, RepeatScope::Cell) => self.hosts.line[b].cell == self.hosts.line[h].cell,
             (Some(b), _, RepeatScope::Unknown) => b == h,
         };
-        let mut near: Vec<usize> = self.ready_with(build).collect();
         let at_hand = |h: &usize| self.detour(0, self.hosts.line[*h].zone.0.into()) == 0.0;
-        if near.iter().any(at_hand) {
-            near.retain(at_hand);
-        }
+        let mut near: Vec<usize> = self.ready_with(build).filter(at_hand).collect();
         let of_own = self.keep_own(&mut near);
         let usable = |h: usize, of_own| {
             drops_repeats(h) && self.may_take(h, of_own) && c.deliveries.iter().all(|d| d.host != h)
@@ -559,18 +466,18 @@
         if untried.is_empty() {
             untried = self.ready_with(build).filter(|&h| usable(h, 0.2)).collect();
         }
-        let fit: Vec<usize> = untried.iter().copied().filter(|&h| self.fit(h)).collect();
-        let proven: Vec<usize> = fit.iter().copied().filter(|&h| self.hosts.strikes[h] == 0).collect();
+        let fit = |h: &usize| self.now >= self.hosts.shut_until[*h] && !self.mute(*h);
+        let mut pool: Vec<usize> = untried.iter().copied().filter(fit).collect();
+        if pool.len() * 3 < untried.len() {
+            // Most hosts seem unfit at once: that is this router's view or its zone's links, not the hosts.
+            pool = untried;
+        }
         // What runs at most once is lost with a host that fails: it goes where answers come back. A host
         // under suspicion is tried by a command that may be delivered again.
-        let pool = if at_most_once && !proven.is_empty() || self.spare < 1.0 && proven.len() * 2 > fit.len() {
-            proven
-        } else if fit.len() * 3 >= untried.len() {
-            fit
-        } else {
-            // Most hosts seem unfit at once: that is this router's view or its zone's links, not the hosts.
-            untried
-        };
+        let proven = |h: &usize| self.hosts.strikes[*h] == 0;
+        if (rules.repeat == Repeat::AtMostOnce || self.spare < 1.0) && pool.iter().any(proven) {
+            pool.retain(proven);
+        }
         if pool.is_empty() {
             return None;
         }
@@ -587,30 +494,22 @@
     fn keep_own(&self, hosts: &mut Vec<usize>) -> f64 {
         let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
         let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
-        if own < hosts.len() {
-            let rank =
-                |h: &usize| unit(u64::from(self.hosts.line[*h].host.0) << 32 | u64::from(self.own_index));
-            hosts.select_nth_unstable_by(own, |a, b| rank(a).total_cmp(&rank(b)));
-            let of_own = hosts.len() as f64 / own as f64;
-            hosts.truncate(own);
-            return of_own;
-        }
-        1.0
+        if own >= hosts.len() {
+            return 1.0;
+        }
+        let rank = |h: &usize| unit(u64::from(self.hosts.line[*h].host.0) << 32 | u64::from(self.own_index));
+        hosts.select_nth_unstable_by(own, |a, b| rank(a).total_cmp(&rank(b)));
+        1.0 + hosts.drain(own..).len() as f64 / own as f64
     }
 
     /// Guards against piling up: no more is out than what lately came back within a part of the service
-    /// target, whatever slows the hosts. Under light load it never binds; it could harm where answers return
-    /// after a gap.
+    /// target, whatever slows the hosts. It could harm where answers return after a gap.
     fn crowded(&self) -> bool {
         let out: u32 = self.hosts.in_flight.iter().sum();
         let base = 2.0 + 2.0 * self.ready().count() as f64 / self.fleet;
         f64::from(out) >= base + 1.1 * CROWDED_PART * self.returns()
     }
 
-    fn fit(&self, h: usize) -> bool {
-        self.now >= self.hosts.shut_until[h] && !self.mute(h)
-    }
-
     /// Guards against hosts that take work and answer nothing, long before their first time-out.
     fn mute(&self, h: usize) -> bool {
         let usual = self.ops.iter().map(|o| o.usual.exp()).fold(0.0, f64::max) as Micros;
@@ -652,9 +551,8 @@
             self.hosts.mute_since[host] = sent;
         }
         self.hosts.in_flight[host] += 1;
-        if std::mem::replace(&mut self.hosts.slot[host], sent / self.cold_slot) != sent / self.cold_slot {
-            self.hosts.sent[host] = 0;
-        }
+        let before = std::mem::replace(&mut self.hosts.slot[host], sent / self.cold_slot);
+        self.hosts.sent[host] *= u32::from(before == sent / self.cold_slot);
         self.hosts.sent[host] += 1;
         self.served[c.share] += 1.0;
         out.deliver(cmd, self.hosts.line[host].host, None);
@@ -664,9 +562,8 @@
     /// repeat: beside the first where copies may run together, else in its place.
     fn hurry(&mut self, out: Out) {
         let due = |c: &Command| {
-            let Some(d) = c.deliveries.last().filter(|d| d.open && !d.started && !c.ended) else {
-                return false;
-            };
+            let last = c.deliveries.last().filter(|d| d.open && !d.started && !c.ended);
+            let Some(d) = last else { return false };
             let doubt = self.mute(d.host) || self.hosts.lag[d.host] > 0.7;
             let slow = (self.now - d.sent) as f64 > self.ops[c.op].target * DOUBT_PART;
             doubt && slow && self.may_redeliver(c) && c.until - self.now > 4 * BEAT
@@ -683,21 +580,17 @@
 
     // ---- What comes back ----
 
-    pub fn answer_started(&mut self, cmd: CommandId, nth: u8, out: Out) {
-        let Some(c) = self.cmds.get_mut(&cmd) else { return };
-        for (n, d) in c.deliveries.iter_mut().enumerate() {
-            d.started |= n == usize::from(nth);
-            if d.open && !d.started && self.may_cancel {
-                out.cancel(cmd, n as u8);
-            }
-        }
+    /// The copies beside the one that has started come back as not sent, or end with the command.
+    pub fn answer_started(&mut self, cmd: CommandId, nth: u8) {
+        let delivery = |c: &mut Command| c.deliveries.get_mut(usize::from(nth)).map(|d| d.started = true);
+        self.cmds.get_mut(&cmd).and_then(delivery);
     }
 
     pub fn ended(&mut self, cmd: CommandId, nth: u8, end: DeliveryEnd, took: Micros, done: bool, out: Out) {
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
         let Some(d) = c.deliveries.get_mut(usize::from(nth)).filter(|d| d.open) else { return };
         d.open = false;
-        d.may_have_run = may_have_run(end);
+        d.may_have_run = end.may_have_run();
         let (h, build, op, key, share) = (d.host, d.build, c.op, c.key, c.share);
         self.hosts.in_flight[h] = self.hosts.in_flight[h].saturating_sub(1);
         if end == DeliveryEnd::Error && nth == 0 {
@@ -711,21 +604,21 @@
         }
         if self.hosts.build[h] == build {
             self.judge(h, op, share, end, took);
-            self.health(h, share, end);
+            self.health(h, end);
         }
         if end == DeliveryEnd::Acked {
             self.ops[op].acks += 1.0;
             self.flow[1] += 1.0;
             let newest = build.max(self.hosts.build[h]);
             if key.0 != 0 && !self.sent_back(newest) {
-                let pin = self.pins.entry(key).or_insert(Pin { build, used: self.now, answered_by: None });
+                let pin = self.pins.entry(key).or_default();
                 pin.answered_by = pin.answered_by.max(Some(newest));
             }
         }
         if done || self.cmds[&cmd].ended {
             self.end(cmd, out);
         } else {
-            self.settle(cmd, may_have_run(end), out);
+            self.settle(cmd, end.may_have_run(), out);
         }
         self.place_held(out);
     }
@@ -733,13 +626,12 @@
     /// After a delivery without an ack: another one where the op type allows it, else the final answer.
     fn settle(&mut self, cmd: CommandId, guess: bool, out: Out) {
         let Some(c) = self.cmds.get(&cmd) else { return };
-        if c.deliveries.iter().all(|d| !d.open) {
-            if c.until - self.now < 2 * BEAT || !self.may_redeliver(c) || (guess && self.spare < 1.0) {
-                self.give_up(cmd, out);
-            } else {
-                self.spare -= f64::from(u8::from(guess));
-                self.route(cmd, out);
-            }
+        let open = c.deliveries.iter().any(|d| d.open);
+        if !open && (c.until - self.now < 2 * BEAT || !self.may_redeliver(c) || guess && self.spare < 1.0) {
+            self.give_up(cmd, out);
+        } else if !open {
+            self.spare -= f64::from(u8::from(guess));
+            self.route(cmd, out);
         }
     }
 
@@ -791,24 +683,11 @@
 
     // ---- Health ----
 
-    fn health(&mut self, h: usize, share: usize, end: DeliveryEnd) {
+    fn health(&mut self, h: usize, end: DeliveryEnd) {
         match end {
             DeliveryEnd::Acked => {
                 self.hosts.strikes[h] = 0;
                 self.hosts.answers[h] = self.hosts.answers[h].saturating_add(1);
-                self.hosts.errors[h] *= 0.85;
-            }
-            DeliveryEnd::Error => {
-                self.hosts.errors[h] = self.hosts.errors[h] * 0.85 + 0.15 * self.proof(share);
-                // Fast errors draw traffic by fewest in flight. Only a host that errs far beyond the others
-                // of its build is set aside: a build that errs everywhere is the judge's, and must not hide
-                // as hosts.
-                let build = self.hosts.build[h];
-                let mut all: Vec<f64> = self.ready_with(build).map(|o| self.hosts.errors[o]).collect();
-                all.sort_by(f64::total_cmp);
-                if self.hosts.errors[h] > 0.25 + 2.0 * all.get((all.len().max(1) - 1) / 2).unwrap_or(&0.0) {
-                    self.strike(h, SECOND);
-                }
             }
             DeliveryEnd::Full => self.hosts.shut_until[h] = self.hosts.shut_until[h].max(self.now + 100 * MS),
             DeliveryEnd::NotConnected => {
@@ -908,9 +787,9 @@
     /// What a failure or its absence proves for a customer whose commands err far beyond the others'. Guards
     /// against commands that err at every host alike; it could harm where a build fails one customer only.
     fn proof(&self, share: usize) -> f64 {
-        let [all, fails] = self.by_share.iter().fold([0.0; 2], |sum, n| [sum[0] + n[0], sum[1] + n[1]]);
         let [own, failed] = self.by_share[share];
-        let rest = (fails - failed + 1.0) / (all - own + 2.0);
+        let [all, fails] = self.by_share.iter().fold([2.0, 1.0], |sum, n| [sum[0] + n[0], sum[1] + n[1]]);
+        let rest = (fails - failed) / (all - own);
         let beyond = (failed - failed.sqrt()) / (own + 1.0) - rest;
         FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
@@ -923,10 +802,9 @@
         self.add(h, which, gain);
     }
 
-    /// A build is convicted by two in five of its hosts, and by two at least where it has three: each may
-    /// bring only its part. Guards against hosts that crash, hang, err or crawl, one or a third of them at
-    /// once; it could harm by a few more failures before a build goes back that fails rarely and on many
-    /// hosts.
+    /// A build is convicted by two in five of its hosts, and by two at least where it has three: each may bring
+    /// only its part. Guards against hosts that crash, hang, err or crawl, one or a third of them at once; it
+    /// could harm by a few more failures of a build that fails rarely and on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
         let voices =
@@ -941,8 +819,7 @@
         }
     }
 
-    /// Failures add up over the op types; slowness is another proof of its own, and one answer counts in one
-    /// only.
+    /// Failures add up over the op types; slowness is another proof, and one answer counts in one only.
     fn sum(&self) -> f64 {
         let (fails, late) = self.sums.split_at(self.ops.len());
         late.iter().copied().fold(fails.iter().sum(), f64::max)
@@ -954,25 +831,24 @@
         let able: f64 = self.ready().filter(open).map(|h| self.warmth(h)).sum();
         // The fading counts of a young router have not filled up yet.
         let filled = 1.0 - (-(self.now - self.born) as f64 / (4 * SECOND) as f64).exp();
-        let [asked, answered] = self.flow.map(|f| f / filled.max(0.1));
-        [asked, answered, 1.0].map(|n| n / able.max(1.0))
+        [self.flow[0] / filled.max(0.1), self.flow[1] / filled.max(0.1), 1.0].map(|n| n / able.max(1.0))
     }
 
     /// The slowness that comes of more load, or of less capacity, than before the trial. What is asked may
     /// have grown by the retries that slowness brings, so it excuses only up to a bound.
     fn by_load(&self) -> f64 {
-        let now = self.load();
-        let slower = |n: usize| 1.5 * (now[n] / self.usual_load[n].max(1e-9)).ln();
-        let slower = slower(0).min(1.0).max(slower(1)).max(slower(2)).clamp(0.0, 1.5);
-        slower * f64::from(u8::from(self.usual_load[1] > 0.0))
+        let (now, usual) = (self.load(), self.usual_load);
+        let [asked, answered, lost] = [0, 1, 2].map(|n| 1.5 * (now[n] / usual[n].max(1e-9)).ln());
+        let slower = asked.min(1.0).max(answered).max(lost).clamp(0.0, 1.5);
+        slower * f64::from(u8::from(usual[1] > 0.0))
     }
 
     /// Guards against a build that slows the earlier hosts too, and so spoils the comparison: from its trial
     /// on, every answer counts against the time before, less what the traffic explains. Host troubles strike
     /// some hosts and not most; it could harm where something else slows the whole fleet meanwhile.
     fn judge_shared(&mut self, late: f64) {
-        let judged = self.news.is_some_and(|n| !self.sent_back(n.build)) && self.seen > 0;
-        if judged && self.usual_load[1] > 0.0 {
+        let judged = self.seen > 0 && self.usual_load[1] > 0.0;
+        if judged && self.news.is_some_and(|n| !self.sent_back(n.build)) {
             let gain = self.late_weight * (late.min(1.5) - self.by_load() - LATE_MARGIN);
             let sum = self.sums.last_mut().expect("made at start");
             *sum = (*sum + gain).max(0.0);
@@ -983,10 +859,8 @@
         let Some(&h) = self.index.get(&host) else { return };
         // An answer of the process before this one says nothing of its build.
         let build = self.hosts.build[h];
-        if self.hosts.line[h].started.is_some_and(|at| self.now - since < at) {
-            return;
-        }
-        if self.news.is_some_and(|n| build >= n.build) && !self.sent_back(build) {
+        let before = self.hosts.line[h].started.is_some_and(|at| self.now - since < at);
+        if !before && self.news.is_some_and(|n| build >= n.build) && !self.sent_back(build) {
             // Reports are few, and the many good answers between them must not wash them out.
             self.sums[self.ops.len() + 1] += self.complaint_weight;
         }
@@ -995,8 +869,12 @@
     /// The routers that the evidence on a build is told to; all know which.
     fn listeners(&self, build: BuildId) -> BTreeSet<u32> {
         let drawn = |n| (unit(u64::from(build.0) << 8 | u64::from(n)) * self.fleet) as u32;
-        let small = self.fleet <= f64::from(LISTENERS);
-        (0..LISTENERS.min(self.fleet as u32)).map(|n| if small { n } else { drawn(n) }).collect()
+        let all = self.fleet as u32;
+        if all <= LISTENERS {
+            (0..all).collect()
+        } else {
+            (0..LISTENERS).map(drawn).collect()
+        }
     }
 
     /// Guards against thin traffic: no router of many sees enough by itself, so eight sum up what all see,
@@ -1038,13 +916,13 @@
 
     fn verdict(&self) -> Option<(BuildId, u8, Verdict)> {
         let news = self.news.filter(|n| matches!(n.standing, Standing::OnTrial | Standing::Released))?;
-        let told: Vec<_> =
-            self.peers.values().filter(|p| p.1 == news.build && self.now - p.0 < 3 * SECOND).collect();
+        let told = self.peers.values().filter(|p| p.1 == news.build && self.now - p.0 < 3 * SECOND);
         let on_trial = news.standing == Standing::OnTrial;
         // Once released, going back means a cold start of the whole fleet: it wants twice the proof.
         let proof = SEND_BACK_AT * if on_trial { 1.0 } else { 2.0 };
         // One listener may be cut off from the others: it wants a second one, or doubts of one's own.
-        let convinced = told.iter().filter(|p| p.2 >= proof).count() + usize::from(self.sum() >= proof / 2.0);
+        let convinced =
+            told.clone().filter(|p| p.2 >= proof).count() + usize::from(self.sum() >= proof / 2.0);
         if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || convinced >= 2 {
             return Some((news.build, news.stage, Verdict::Back));
         }
@@ -1054,19 +932,17 @@
         if self.gate == Gate::Clocked {
             return (self.sum() > HOLD_AT).then_some((news.build, news.stage, Verdict::Hold));
         }
-        let count = self.ready_with(news.build).count();
-        let latest =
-            self.ready_with(news.build).filter_map(|h| self.hosts.line[h].started).max().unwrap_or(0);
+        let started = || self.ready_with(news.build).map(|h| self.hosts.line[h].started.unwrap_or(0));
+        let (count, latest) = (started().count(), started().max().unwrap_or(0));
         let share = self.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
         let complete = count > 0 && count as f64 >= (share * self.ready().count() as f64).floor();
         let unlisted = Micros::from(!complete && latest <= self.stage_began);
-        let from = latest.max(self.stage_began) + unlisted * 8 * SECOND;
+        let waited = self.now - latest.max(self.stage_began) - unlisted * 8 * SECOND;
         // Where one vote is enough, what a quiet router has seen the whole fleet has seen many times over.
-        let alike = if self.gate == Gate::Majority { 1.0 } else { self.fleet };
-        let enough = (f64::from(ENOUGH_ANSWERS).powi(2) / alike).ceil().clamp(1.0, f64::from(ENOUGH_ANSWERS));
-        let known = f64::from(told.iter().map(|p| p.3).fold(self.seen_in_stage, u32::max)) >= enough;
-        let top = told.iter().map(|p| p.2).fold(self.sum(), f64::max);
-        let waited = self.now - from;
+        let alike = if self.gate == Gate::Majority { 1 } else { self.fleet as u32 };
+        let enough = (ENOUGH_ANSWERS * ENOUGH_ANSWERS / alike).clamp(1, ENOUGH_ANSWERS);
+        let known = told.clone().map(|p| p.3).fold(self.seen_in_stage, u32::max) >= enough;
+        let top = told.map(|p| p.2).fold(self.sum(), f64::max);
         let go = top < QUIET_BELOW && waited >= self.go_wait && (known || waited >= 3 * self.go_wait);
         go.then_some((news.build, news.stage, Verdict::On))
     }
@@ -1074,8 +950,7 @@
     fn cast(&mut self, out: Out) {
         if self.vote_out && self.now >= self.vote_again_at {
             // The desk never answered: the vote may count or not, so it is cast anew.
-            self.vote_out = false;
-            self.vote = None;
+            (self.vote_out, self.vote) = (false, None);
         }
         let want = self.verdict();
         let stands = self.now < self.vote_stands_until;
@@ -1083,12 +958,10 @@
             return;
         }
         // A vote for going on must not stand while doubts have come up.
-        let withdrawn =
-            self.vote.filter(|v| v.2 != Verdict::Back && stands).map(|v| (v.0, v.1, Verdict::None));
-        if let Some((build, stage, verdict)) = want.or(withdrawn) {
+        let doubted = self.vote.filter(|v| v.2 != Verdict::Back && stands);
+        if let Some((build, stage, verdict)) = want.or(doubted.map(|v| (v.0, v.1, Verdict::None))) {
             out.vote(build, stage, verdict);
-            self.vote = want;
-            self.vote_out = true;
+            (self.vote, self.vote_out) = (want, true);
             self.vote_again_at = self.now + self.vote_wait + SECOND / 2;
             self.vote_stands_until = self.now + self.vote_wait;
         }
@@ -1110,12 +983,12 @@
         self.flow = self.flow.map(|f| f * fade.powf(0.25));
         self.grow_lane();
         self.forget_window();
-        let [asked, answered, _] = self.load();
-        let pace = answered.max(asked / 4.0) / 4.0;
+        let load = self.load();
+        let pace = load[1].max(load[0] / 4.0) / 4.0;
         // A fleet that answers little for a while can still do what it did.
         self.pace += (pace - self.pace) * if pace > self.pace { 0.01 } else { 0.001 };
         if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now > self.born + 2 * SECOND {
-            let (pace, load) = (if self.usual_load[1] > 0.0 { 0.01 } else { 1.0 }, self.load());
+            let pace = if self.usual_load[1] > 0.0 { 0.01 } else { 1.0 };
             self.usual_load.iter_mut().zip(load).for_each(|(usual, load)| *usual += pace * (load - *usual));
         }
         self.beaten = self.now;
@@ -1137,33 +1010,3 @@
         }
     }
 }
-
-/// Whether a delivery that ended so may have had its effect.
-fn may_have_run(end: DeliveryEnd) -> bool {
-    !matches!(end, DeliveryEnd::Full | DeliveryEnd::NotConnected | DeliveryEnd::NotSent)
-}
-
-impl Hosts {
-    fn add(&mut self, line: &HostLine) -> usize {
-        self.line.push(*line);
-        self.build.push(line.build.unwrap_or_default());
-        [&mut self.in_flight, &mut self.sent].into_iter().for_each(|v| v.push(0));
-        [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v.push(0));
-        [&mut self.shut_until, &mut self.mute_since].into_iter().for_each(|v| v.push(Micros::MIN));
-        [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v.push(0.0));
-        self.slot.push(Micros::MIN);
-        self.line.len() - 1
-    }
-
-    fn update(&mut self, h: usize, line: &HostLine) {
-        let build = line.build.unwrap_or(self.build[h]);
-        if self.line[h].started != line.started || self.build[h] != build {
-            // Another process, maybe another machine: nothing learned of the one before holds.
-            self.build[h] = build;
-            [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
-            [&mut self.errors, &mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
-            self.shut_until[h] = Micros::MIN;
-        }
-        self.line[h] = *line;
-    }
-}
--- /dev/null
+++ b/crates/spokeflow-core/src/state.rs
@@ -0,0 +1,107 @@
+//! What the router keeps in mind, without judgement: figures about op types, commands, keys and hosts.
+
+use crate::{BuildId, HostLine, Key, Micros, OpTerms, Repeat, RepeatScope};
+
+pub struct OpRules {
+    pub repeat: Repeat,
+    pub scope: RepeatScope,
+    pub memory: Micros,
+    pub target: f64,
+    /// Mean logarithm of the time to an answer and how many it rests on; learned only while none is on trial.
+    pub usual: f64,
+    pub usual_seen: u32,
+    /// Acks of the last second or so, fading.
+    pub acks: f64,
+    /// Median time to an answer over the service target, as a logarithm.
+    pub strain: f64,
+}
+
+impl OpRules {
+    pub fn new(op: &OpTerms) -> Self {
+        OpRules {
+            repeat: op.repeat,
+            scope: op.repeat_scope,
+            memory: op.repeat_memory,
+            target: op.service_target as f64,
+            usual: 0.0,
+            usual_seen: 0,
+            acks: 0.0,
+            strain: f64::NEG_INFINITY,
+        }
+    }
+}
+
+pub struct Delivery {
+    pub host: usize,
+    pub build: BuildId,
+    pub sent: Micros,
+    pub open: bool,
+    pub may_have_run: bool,
+    pub started: bool,
+}
+
+pub struct Command {
+    pub op: usize,
+    pub key: Key,
+    pub share: usize,
+    pub place: f64,
+    pub taken: Micros,
+    pub until: Micros,
+    pub ended: bool,
+    pub deliveries: Vec<Delivery>,
+}
+
+#[derive(Default)]
+pub struct Pin {
+    pub build: BuildId,
+    pub used: Micros,
+    /// The newest build that has answered this key: under one-way rules no way leads below it.
+    pub answered_by: Option<BuildId>,
+}
+
+/// Figures about hosts, in parallel arrays under a dense index.
+#[derive(Default)]
+pub struct Hosts {
+    /// What the list last said.
+    pub line: Vec<HostLine>,
+    pub build: Vec<BuildId>,
+    pub in_flight: Vec<u32>,
+    /// Sent in the last slot of time, and which that was.
+    pub sent: Vec<u32>,
+    pub slot: Vec<Micros>,
+    /// Acked by the present process.
+    pub answers: Vec<u32>,
+    pub strikes: Vec<u32>,
+    pub shut_until: Vec<Micros>,
+    /// How much slower than usual the host answers, as a logarithm.
+    pub lag: Vec<f64>,
+    /// Since when nothing has come back while something is out.
+    pub mute_since: Vec<Micros>,
+    /// The host's part of the judge's sum.
+    pub blame: Vec<f64>,
+}
+
+impl Hosts {
+    pub fn add(&mut self, line: &HostLine) -> usize {
+        self.line.push(*line);
+        self.build.push(line.build.unwrap_or_default());
+        [&mut self.in_flight, &mut self.sent].into_iter().for_each(|v| v.push(0));
+        [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v.push(0));
+        [&mut self.shut_until, &mut self.mute_since].into_iter().for_each(|v| v.push(Micros::MIN));
+        [&mut self.lag, &mut self.blame].into_iter().for_each(|v| v.push(0.0));
+        self.slot.push(Micros::MIN);
+        self.line.len() - 1
+    }
+
+    pub fn update(&mut self, h: usize, line: &HostLine) {
+        let build = line.build.unwrap_or(self.build[h]);
+        if self.line[h].started != line.started || self.build[h] != build {
+            // Another process, maybe another machine: nothing learned of the one before holds.
+            self.build[h] = build;
+            [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
+            [&mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
+            self.shut_until[h] = Micros::MIN;
+        }
+        self.line[h] = *line;
+    }
+}
--- a/crates/spokeflow-core/src/terms.rs
+++ b/crates/spokeflow-core/src/terms.rs
@@ -117,6 +117,13 @@
     NotSent,
 }
 
+impl DeliveryEnd {
+    /// Whether a delivery that ended so may have had its effect.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, DeliveryEnd::Full | DeliveryEnd::NotConnected | DeliveryEnd::NotSent)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     OnTrial,
--- a/crates/spokeflow-core/tests/plain.rs
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -237,5 +237,5 @@
     fn probe(&mut self, _: HostId) {}
     fn watch_list(&mut self) {}
     fn fetch_list(&mut self) {}
-    fn tell_all(&mut self, _: &[u8]) {}
+    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
 }
--- a/crates/spokeflow-wirehost/src/main.rs
+++ b/crates/spokeflow-wirehost/src/main.rs
@@ -141,7 +141,7 @@
                 let cmd = CommandId(f.u32()?);
                 f.f64()?;
                 let delivery = f.u8()?;
-                router.answer_started(cmd, delivery, out);
+                router.answer_started(cmd, delivery);
             }
             4 => {
                 let cmd = CommandId(f.u32()?);
