--- a/crates/spokeflow-core/src/chance.rs
+++ b/crates/spokeflow-core/src/chance.rs
@@ -22,6 +22,10 @@
         self.low
     }
 
+    pub fn share(&mut self) -> f64 {
+        f64::from(self.draw()) / f64::from(u32::MAX)
+    }
+
     /// A number from 0 up to but not including `bound`; 0 where `bound` is 0.
     pub fn below(&mut self, bound: usize) -> usize {
         ((u64::from(self.draw()) * bound as u64) >> 32) as usize
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -14,8 +14,8 @@
 
 type Out<'a> = &'a mut dyn Egress;
 
-const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
+const MS: Micros = SECOND / 1000;
 const BEAT: Micros = 20 * MS;
 /// Part of the cap that the lane takes by itself, and how far keys follow the machines above that, so that
 /// further deliveries and keys which may not leave still find room.
@@ -36,19 +36,19 @@
 const FAR: f64 = 1.2;
 /// Answers that a router needs from a build before it votes on it.
 const ENOUGH_ANSWERS: u32 = 3;
-/// Hosts that must speak against a build at most: a router meets few of many hundred.
+/// Hosts that must speak against a build at most: a router meets few of many.
 const MOST_VOICES: f64 = 8.0;
 /// Routers that all evidence is told to: what all tell all would grow with the square of the fleet.
 const LISTENERS: u32 = 8;
-/// Routers that each host is met by at least, so that their uneven traffic evens out.
+/// Routers that each host is met by at least: uneven traffic evens out.
 const MET_BY: f64 = 60.0;
-/// Part of the told multiple that a cold host is sent where the routers' demand fills it, which is rare.
-const COLD_PART: f64 = 1.4;
+/// Part of what the told multiple allows a cold host that is sent to it.
+const COLD_PART: f64 = 0.9;
 /// Share of the commands that may be delivered again at a guess, and the most saved up.
 const SPARE_PER_COMMAND: f64 = 0.1;
 const SPARE_AT_MOST: f64 = 10.0;
-/// Parts of the service target: at hosts before they are crowded, median time before some are refused, waiting
-/// for a place, waiting before a second delivery where the host looks sick.
+/// Parts of the service target: at hosts before they are crowded, median time before some are refused,
+/// waiting for a place, and before a second delivery where the host looks sick.
 const CROWDED_PART: f64 = 0.4;
 const STRAINED_PART: f64 = 0.5;
 const HOLD_PART: f64 = 0.3;
@@ -81,7 +81,8 @@
     /// By customer, answers and failures of late at hosts of any build.
     by_share: Vec<[f64; 2]>,
     usual_load: [f64; 3],
-    flow: [f64; 2],
+    /// Commands asked, answered and given up for want of a place, fading over some seconds.
+    flow: [f64; 3],
     /// Answers a second that a whole host gives this router.
     pace: f64,
     born: Micros,
@@ -111,7 +112,7 @@
     longest_return: Option<Micros>,
     cold_from: f64,
     warm_within: Micros,
-    cold_slot: Micros,
+    fall_span: Micros,
     cold_part: f64,
     gate: Gate,
     first_cap: f64,
@@ -157,8 +158,8 @@
             longest_return: terms.may_name_return.then_some(terms.longest_return),
             cold_from: terms.cold_from.clamp(0.05, 1.0),
             warm_within: terms.warm_within.max(1),
-            cold_slot: (terms.fall_span / 3).max(1),
-            cold_part: COLD_PART * terms.fall_multiple * (terms.fall_span / 3) as f64 / SECOND as f64,
+            fall_span: terms.fall_span.max(1),
+            cold_part: COLD_PART * terms.fall_multiple * terms.fall_span as f64 / SECOND as f64,
             gate: terms.gate,
             first_cap: terms.stage_caps.first().copied().unwrap_or(0.0),
             stage_shares: terms.stage_shares.clone(),
@@ -188,8 +189,7 @@
 
     pub fn listed(&mut self, kind: ListKind, lines: &[HostLine], out: Out) {
         if kind != ListKind::Remembered {
-            self.ask_list_at = None;
-            self.ask_pause = 0;
+            (self.ask_list_at, self.ask_pause) = (None, 0);
         }
         if kind != ListKind::Changes {
             let named: BTreeSet<HostId> = lines.iter().map(|line| line.host).collect();
@@ -207,8 +207,8 @@
     pub fn list_failed(&mut self) {
         // The notice does not say whether a subscription still stands: asking again is the only safe reading.
         self.ask_pause = (self.ask_pause * 2).clamp(SECOND / 2, 4 * SECOND);
-        let spread = self.chance.below(self.ask_pause as usize / 2);
-        self.ask_list_at = Some(self.now + self.ask_pause + spread as Micros);
+        let pause = self.ask_pause as usize;
+        self.ask_list_at = Some(self.now + (pause + self.chance.below(pause / 2)) as Micros);
     }
 
     fn ready(&self) -> impl Iterator<Item = usize> + '_ {
@@ -237,7 +237,7 @@
             // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
             self.pins.retain(|_, pin| {
                 pin.answered_by = pin.answered_by.filter(|b| *b != news.build);
-                pin.build != news.build
+                pin.build != news.build || pin.answered_by.is_some()
             });
         }
         self.beat(out);
@@ -286,16 +286,16 @@
         let share = (share.0 as usize).min(self.shares.len() - 1);
         let command = Command { op, key, share, place, taken, until, ended: false, deliveries };
         self.cmds.insert(cmd, command);
-        if f64::from(self.chance.draw()) / f64::from(u32::MAX) > (-self.strain(op)).exp() {
+        if self.chance.share() > (-self.strain(op)).exp() {
             return self.give_up(cmd, out);
         }
         self.held.push_back(cmd);
         self.place_held(out);
     }
 
-    /// Guards against queues so long that most is served too late, where traffic is so thin that a bound on
-    /// what is out says nothing: the part that would bring the median time back to half the service target
-    /// is taken, the rest nacked. It could harm where an op type is slow for a reason that shedding cannot mend.
+    /// Guards against queues so long that most is served too late, where traffic is too thin for a bound on what
+    /// is out: only the part that would bring the median time back to half the service target is taken. It
+    /// could harm where an op type is slow for a reason that shedding cannot mend.
     fn strain(&self, op: usize) -> f64 {
         let thin = CROWDED_PART * self.returns() < 2.0;
         if thin {
@@ -333,6 +333,7 @@
         let wait_until = (c.taken + (self.ops[op].target * HOLD_PART) as Micros).min(c.until - 2 * BEAT);
         // A full counter under one-way rules is refused at once: the client comes back when there is room.
         if full && floor.is_some() || self.now >= wait_until {
+            self.flow[2] += 1.0;
             self.give_up(cmd, out);
         } else {
             self.held.push_back(cmd);
@@ -391,8 +392,7 @@
 
     /// The least part of its capacity that a host can have by now.
     fn warmth(&self, h: usize) -> f64 {
-        let Some(at) = self.hosts.line[h].started else { return 1.0 };
-        let age = (self.now - at).clamp(0, self.warm_within) as f64 / self.warm_within as f64;
+        let age = self.age(h).min(self.warm_within) as f64 / self.warm_within as f64;
         self.cold_from + (1.0 - self.cold_from) * age
     }
 
@@ -402,8 +402,7 @@
         let spent = (self.now - self.beaten) as f64 / LANE_GROWS as f64;
         let (stable, Some(new)) = self.candidates() else { return };
         if self.lane_build != new {
-            self.lane_build = new;
-            self.lane = 0.0;
+            (self.lane_build, self.lane) = (new, 0.0);
         }
         let cap = self.cap(new).max(0.0);
         let share = stable.map_or(1.0, |old| self.trial_share(new, old));
@@ -516,32 +515,34 @@
         self.hosts.in_flight[h] > 0 && self.now - self.hosts.mute_since[h] > (6 * usual).max(600 * MS)
     }
 
-    /// A fresh host gets no more in flight than its answers have earned, and over each slot of time at most a
-    /// router's own part of what the fleet may send it: some way above what a whole host answers this router,
-    /// as far as it can be warm. A part under one is drawn anew each slot, so that the parts of many routers
-    /// add up to the bound and none is saved up. What is sent counts: a host that errs fast would else be sent
-    /// any number. One that has failed gets one command at a time.
+    /// A fresh host gets no more in flight than its answers have earned, and over each span of the told length
+    /// a router's own part of what the fleet may send it, by what a whole host answers this router. A part
+    /// under one is drawn, so that the parts of many routers add up. What is sent counts: a host that errs
+    /// fast would else be sent any number. One that has failed gets one command at a time.
     fn may_take(&self, h: usize, of_own: f64) -> bool {
-        let age = self.now - self.hosts.line[h].started.unwrap_or(0);
-        if self.hosts.line[h].started.is_some() && age < self.warm_within + SECOND {
-            let slot = self.now / self.cold_slot;
+        let (host, age) = (self.hosts.line[h].host.0, self.age(h));
+        if age < self.warm_within + SECOND {
+            let (slot, begun) = (age / self.fall_span, self.now - age);
             let sent = if self.hosts.slot[h] == slot { self.hosts.sent[h] } else { 0 };
-            let draw = unit(
-                u64::from(self.hosts.line[h].host.0) << 32 | u64::from(self.own_index) ^ (slot as u64) << 12,
-            );
-            let part = self.cold_part * self.warmth(h).max(0.6) * self.pace * of_own + draw;
-            if f64::from(sent + 1) > part || self.hosts.in_flight[h] > 1 + self.hosts.answers[h] {
+            // The first span is met by no other before it.
+            let part = self.cold_part * self.warmth(h) * self.pace * of_own / (1 + slot.min(1)) as f64;
+            let drawn = unit(u64::from(host) << 32 ^ u64::from(self.own_index) << 12 ^ (begun + slot) as u64);
+            if f64::from(sent + 1) > part + drawn || self.hosts.in_flight[h] > 1 + self.hosts.answers[h] {
                 return false;
             }
         }
         self.hosts.strikes[h] == 0 || self.hosts.in_flight[h] == 0
     }
 
+    fn age(&self, h: usize) -> Micros {
+        self.hosts.line[h].started.map_or(Micros::MAX / 2, |at| (self.now - at).max(0))
+    }
+
     // ---- Dispatch ----
 
     fn dispatch(&mut self, cmd: CommandId, host: usize, out: Out) {
         let (build, sent) = (self.hosts.build[host], self.now);
-        let on_trial = self.on_trial(build);
+        let (on_trial, slot) = (self.on_trial(build), self.age(host) / self.fall_span);
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
         if on_trial {
             self.exposed.push_back((sent, c.op * usize::from(self.by_op), build));
@@ -551,9 +552,8 @@
             self.hosts.mute_since[host] = sent;
         }
         self.hosts.in_flight[host] += 1;
-        let before = std::mem::replace(&mut self.hosts.slot[host], sent / self.cold_slot);
-        self.hosts.sent[host] *= u32::from(before == sent / self.cold_slot);
-        self.hosts.sent[host] += 1;
+        let same = u32::from(std::mem::replace(&mut self.hosts.slot[host], slot) == slot);
+        self.hosts.sent[host] = same * self.hosts.sent[host] + 1;
         self.served[c.share] += 1.0;
         out.deliver(cmd, self.hosts.line[host].host, None);
     }
@@ -580,7 +580,6 @@
 
     // ---- What comes back ----
 
-    /// The copies beside the one that has started come back as not sent, or end with the command.
     pub fn answer_started(&mut self, cmd: CommandId, nth: u8) {
         let delivery = |c: &mut Command| c.deliveries.get_mut(usize::from(nth)).map(|d| d.started = true);
         self.cmds.get_mut(&cmd).and_then(delivery);
@@ -589,8 +588,7 @@
     pub fn ended(&mut self, cmd: CommandId, nth: u8, end: DeliveryEnd, took: Micros, done: bool, out: Out) {
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
         let Some(d) = c.deliveries.get_mut(usize::from(nth)).filter(|d| d.open) else { return };
-        d.open = false;
-        d.may_have_run = end.may_have_run();
+        (d.open, d.may_have_run) = (false, end.may_have_run());
         let (h, build, op, key, share) = (d.host, d.build, c.op, c.key, c.share);
         self.hosts.in_flight[h] = self.hosts.in_flight[h].saturating_sub(1);
         if end == DeliveryEnd::Error && nth == 0 {
@@ -652,14 +650,10 @@
     fn give_up(&mut self, cmd: CommandId, out: Out) {
         let Some(c) = self.cmds.get(&cmd) else { return };
         let rules = &self.ops[c.op];
-        let ran = c.deliveries.iter().any(|d| d.may_have_run);
-        let harmless = match rules.repeat {
-            Repeat::Redeliverable => true,
-            Repeat::Deduplicated => !ran || rules.scope == RepeatScope::All,
-            Repeat::AtMostOnce => !ran,
-        };
-        if harmless {
-            let come_back = rules.target / 4.0 * (1.0 + f64::from(self.chance.draw()) / f64::from(u32::MAX));
+        let any_drops = rules.repeat == Repeat::Deduplicated && rules.scope == RepeatScope::All;
+        let never_ran = c.deliveries.iter().all(|d| !d.may_have_run);
+        if never_ran || any_drops || rules.repeat == Repeat::Redeliverable {
+            let come_back = rules.target / 4.0 * (1.0 + self.chance.share());
             out.nack(cmd, self.longest_return.map(|most| most.min(come_back as Micros)));
         } else {
             out.fail(cmd);
@@ -689,6 +683,8 @@
                 self.hosts.strikes[h] = 0;
                 self.hosts.answers[h] = self.hosts.answers[h].saturating_add(1);
             }
+            // Fast errors draw traffic by fewest in flight, which a fresh host does not bear.
+            DeliveryEnd::Error if self.hosts.answers[h] == 0 => self.strike(h, SECOND / 2),
             DeliveryEnd::Full => self.hosts.shut_until[h] = self.hosts.shut_until[h].max(self.now + 100 * MS),
             DeliveryEnd::NotConnected => {
                 self.learn_way(0, self.hosts.line[h].zone.0.into(), 2.0);
@@ -741,14 +737,14 @@
         };
         let acked = end == DeliveryEnd::Acked;
         self.by_share.iter_mut().flatten().for_each(|n| *n *= 0.98);
-        self.by_share[share][0] += 1.0;
-        self.by_share[share][1] += f64::from(u8::from(end == DeliveryEnd::Error));
+        let erred = f64::from(u8::from(end == DeliveryEnd::Error));
+        self.by_share[share] = [self.by_share[share][0] + 1.0, self.by_share[share][1] + erred];
         let time = (took.max(1) as f64).ln() + self.warmth(h).ln();
         // A mean that rests on few answers may be off by chance, which must not count against the build.
-        let (rests_on, usual) = (self.ops[op].usual_seen, self.ops[op].usual);
-        let known = acked && rests_on >= 5;
-        let unsure = 1.0 / f64::from(rests_on.max(1)).sqrt();
-        let late = if known { (time - usual - (unsure - 0.25).max(0.0)).clamp(-2.0, 2.0) } else { 0.0 };
+        let (rests_on, usual) = (f64::from(self.ops[op].usual_seen), self.ops[op].usual);
+        let known = acked && rests_on >= 5.0;
+        let unsure = (1.0 / rests_on.sqrt() - 0.25).max(0.0);
+        let late = if known { (time - usual - unsure).clamp(-2.0, 2.0) } else { 0.0 };
         let ways = [(0, self.hosts.line[h].zone.0.into()), (1, op), (2, share)];
         if known {
             ways.iter().for_each(|&(kind, n)| self.learn_way(kind, n, late));
@@ -762,9 +758,9 @@
         if newest && self.hosts.build.iter().any(|b| *b < build) {
             self.seen += 1;
             self.seen_in_stage += 1;
+            self.untold_answers = self.untold_answers.saturating_add(1);
             let wrong = &mut self.sums[self.ops.len() + 1];
             *wrong = (*wrong - WRONG_MARGIN).max(0.0);
-            self.untold_answers = self.untold_answers.saturating_add(1);
             let gain = failed - self.old_fails[op] - FAIL_MARGIN;
             self.found(h, op, gain * self.proof(share));
             if known {
@@ -794,7 +790,6 @@
         FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
 
-    /// What this router saw by itself.
     fn found(&mut self, h: usize, which: usize, gain: f64) {
         if self.may_tell {
             *self.untold.entry((self.hosts.line[h].host, which as u8)).or_default() += gain;
@@ -807,8 +802,8 @@
     /// could harm by a few more failures of a build that fails rarely and on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
-        let voices =
-            [0.5, 0.5, 1.5].get(peers).copied().unwrap_or((0.4 * peers as f64).clamp(2.0, MOST_VOICES));
+        let voices = [0.5, 0.5, 1.5].get(peers).copied();
+        let voices = voices.unwrap_or((0.4 * peers as f64).clamp(2.0, MOST_VOICES));
         // A lone host that is slow may have a neighbour; what it costs to wait for a second one is little.
         let most = SEND_BACK_AT / if which == self.ops.len() { voices.max(1.5) } else { voices };
         let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
@@ -840,7 +835,13 @@
         let (now, usual) = (self.load(), self.usual_load);
         let [asked, answered, lost] = [0, 1, 2].map(|n| 1.5 * (now[n] / usual[n].max(1e-9)).ln());
         let slower = asked.min(1.0).max(answered).max(lost).clamp(0.0, 1.5);
-        slower * f64::from(u8::from(usual[1] > 0.0))
+        // A fleet that sheds and yet answers as much as before is full: that is load, whatever was asked.
+        let full = self.flow[2] > 0.05 * self.flow[0] && now[1] > 0.95 * usual[1];
+        if full {
+            1.5
+        } else {
+            slower * f64::from(u8::from(usual[1] > 0.0))
+        }
     }
 
     /// Guards against a build that slows the earlier hosts too, and so spoils the comparison: from its trial
--- a/crates/spokeflow-core/src/state.rs
+++ b/crates/spokeflow-core/src/state.rs
@@ -98,7 +98,7 @@
         if self.line[h].started != line.started || self.build[h] != build {
             // Another process, maybe another machine: nothing learned of the one before holds.
             self.build[h] = build;
-            [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
+            [&mut self.sent, &mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
             [&mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
             self.shut_until[h] = Micros::MIN;
         }
--- a/crates/spokeflow-core/tests/rules.rs
+++ b/crates/spokeflow-core/tests/rules.rs
@@ -158,3 +158,53 @@
         t.may_name_return = false;
     });
 }
+
+/// Many routers share hosts, and two in three hosts refuse: what all send to a cold one stays in its budget.
+#[test]
+fn many_routers_together_do_not_push_a_cold_host_over() {
+    let (routers, hosts, each) = (40u64, 12u32, 12);
+    let mut terms = terms(Gate::Single);
+    terms.fleet_size = routers as u32;
+    let mut fleet: Vec<_> = (0..routers)
+        .map(|n| Ledger::start(ServiceTerms { own_index: n as u32, ..terms.clone() }, n))
+        .collect();
+    let all: Vec<HostLine> = (0..hosts).map(|h| line(h, OLD)).collect();
+    for (router, ledger) in &mut fleet {
+        ledger.list(router, ListKind::Remembered, &all);
+        ledger.tell(router, news(OLD, 2, Standing::Released, 1.0));
+    }
+    let mut round = |cold: bool, rounds: u32| {
+        let mut sent = 0;
+        for (router, ledger) in &mut fleet {
+            let from = ledger.now;
+            for n in 0..rounds {
+                let id = ledger.owed.len() as u32;
+                ledger.command(router, id, 0, 0, 900 * MS);
+                ledger.pass(router, SECOND / each + Micros::from(n % 2));
+                for (cmd, nth) in ledger.open() {
+                    let refuses = cold && ledger.owed[&cmd].sent[nth].host > HostId(3);
+                    ledger.end(
+                        router,
+                        cmd,
+                        nth,
+                        if refuses { DeliveryEnd::Full } else { DeliveryEnd::Acked },
+                    );
+                }
+            }
+            let all = ledger.owed.values().flat_map(|o| &o.sent);
+            sent += all.filter(|s| s.host == HostId(3) && s.at >= from).count();
+            let line = HostLine { started: Some(ledger.now), ..line(3, OLD) };
+            ledger.list(router, ListKind::Changes, &[line]);
+        }
+        sent as f64
+    };
+    round(false, 8 * each as u32);
+    // Forty routers of twelve a second over twelve hosts: forty a second each, which is what one can do.
+    let (can, span) =
+        ((routers as f64) * each as f64 / f64::from(hosts), terms.fall_span as f64 / SECOND as f64);
+    let present =
+        terms.cold_from + (1.0 - terms.cold_from) * span / (terms.warm_within as f64 / SECOND as f64);
+    let sent = round(true, 2 * each as u32);
+    let budget = terms.fall_multiple * can * present * span;
+    assert!(sent <= budget, "rule 4: {sent} sent, {budget} at most");
+}
