--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -784,8 +784,8 @@
     /// against commands that err at every host alike; it could harm where a build fails one customer only.
     fn proof(&self, share: usize) -> f64 {
         let [own, failed] = self.by_share[share];
-        let [all, fails] = self.by_share.iter().fold([2.0, 1.0], |sum, n| [sum[0] + n[0], sum[1] + n[1]]);
-        let rest = (fails - failed) / (all - own);
+        let others = self.by_share.iter().enumerate().filter(|(n, _)| *n != share);
+        let rest = others.map(|(_, n)| (n[1] + 1.0) / (n[0] + 2.0)).fold(1.0, f64::min);
         let beyond = (failed - failed.sqrt()) / (own + 1.0) - rest;
         FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
