--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -126,12 +126,10 @@
     vote_life: Micros,
     vote_wait: Micros,
     complaint_weight: f64,
-    late_weight: f64,
 }
 
 impl Router {
     pub fn new(terms: &ServiceTerms, seed: u64, now: Micros, out: Out) -> Self {
-        let alone = if terms.gate == Gate::Majority { 1.0 } else { f64::from(terms.fleet_size) / 8.0 };
         out.wake(now + BEAT);
         if terms.list_must_be_asked {
             out.watch_list();
@@ -173,8 +171,6 @@
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
             complaint_weight: (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5),
-            // Of many routers that may each send back alone, the unluckiest would: chance counts for less.
-            late_weight: LATE_WEIGHT / (1.0 + 0.25 * alone.max(1.0).ln()),
             ..Router::default()
         }
     }
@@ -765,7 +761,7 @@
             self.found(h, op, gain * self.proof(share));
             if known {
                 let excused = self.old_lag.max(self.by_load());
-                self.found(h, self.ops.len(), self.late_weight * (late - excused - LATE_MARGIN));
+                self.found(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
             }
             return;
         }
@@ -850,7 +846,7 @@
     fn judge_shared(&mut self, late: f64) {
         let judged = self.seen > 0 && self.usual_load[1] > 0.0;
         if judged && self.news.is_some_and(|n| !self.sent_back(n.build)) {
-            let gain = self.late_weight * (late.min(1.5) - self.by_load() - LATE_MARGIN);
+            let gain = LATE_WEIGHT * (late.min(1.5) - self.by_load() - LATE_MARGIN);
             let sum = self.sums.last_mut().expect("made at start");
             *sum = (*sum + gain).max(0.0);
         }
