--- /dev/null
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -0,0 +1,401 @@
+use std::collections::BTreeSet;
+
+use spokeflow_core::{
+    BuildId, CommandId, DeliveryEnd, HostId, HostLine, HostPhase, Key, ListKind, Micros, OpType, Router,
+    ServiceTerms, ShareId, StageNews, Standing, VoteAnswer, ZoneId,
+};
+use spokeflow_proto::{
+    BallotResult, Command, FrameFault, FromDesk, FromHost, FromList, Line, LinePhase, News, NewsStanding,
+    ToClient, ToHost,
+};
+
+use crate::book::{Book, Carrier, Owed, Place};
+use crate::input::NoAnswer;
+use crate::{Input, Links};
+
+/// What the engine itself must know beside the module's terms.
+#[derive(Clone, Debug)]
+pub struct EngineTerms {
+    pub service: ServiceTerms,
+    /// Kept back from each client's patience, for the way of the answer.
+    pub answer_margin: Micros,
+    /// Commands held at most; one more is nacked at once.
+    pub held_at_most: usize,
+}
+
+/// Counted since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub taken: u64,
+    pub acked: u64,
+    pub nacked: u64,
+    pub failed: u64,
+    pub left: u64,
+    pub deliveries: u64,
+    /// Answers of hosts to deliveries that had been given up.
+    pub late: u64,
+    pub votes: u64,
+    /// Answered by the engine because the module had not in time: always 0 unless the module has a fault.
+    pub overdue: u64,
+    /// Nacked because as many as are allowed were held.
+    pub over_held: u64,
+}
+
+pub struct Engine {
+    router: Router,
+    book: Book,
+    terms: EngineTerms,
+    closing: bool,
+}
+
+impl Engine {
+    /// `seed` starts the module's chance; times are microseconds of any one clock that never goes back.
+    pub fn new(terms: EngineTerms, seed: u64, now: Micros, links: &mut dyn Links) -> Self {
+        let mut book = Book { now, born: now, vote_wait: terms.service.vote_wait.max(1), ..Book::default() };
+        let router = Router::new(&terms.service, seed, now, &mut Carrier { book: &mut book, links });
+        let mut engine = Engine { router, book, terms, closing: false };
+        engine.settle(links);
+        engine
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.book.counts
+    }
+
+    /// Commands that are owed an answer.
+    pub fn held(&self) -> usize {
+        self.book.owed_by.len()
+    }
+
+    /// The next command gets this id of the module, or the first free one after it.
+    pub fn skip_ids_to(&mut self, id: u32) {
+        self.book.next_cmd = id;
+    }
+
+    /// When [`Engine::woken`] is due.
+    pub fn next_wake(&self) -> Micros {
+        let book = &self.book;
+        let due = [
+            book.wakes.first().copied(),
+            book.due.first().map(|d| d.0),
+            book.owed_by.first().map(|d| d.0),
+            book.ballot.map(|b| b.1),
+        ];
+        due.into_iter().flatten().min().unwrap_or(Micros::MAX)
+    }
+
+    /// Takes in one thing that has happened at `now`.
+    pub fn take(&mut self, now: Micros, input: Input, links: &mut dyn Links) {
+        self.at(now);
+        match input {
+            Input::Command { conn, command } => self.command(conn, command, links),
+            Input::Leave { conn, id } => {
+                let cmd = self.book.by_client.get_mut(&conn).and_then(|ids| ids.remove(&id));
+                if let Some(cmd) = cmd {
+                    self.left(cmd, links);
+                }
+            }
+            Input::ClientGone { conn } => {
+                for cmd in self.book.by_client.remove(&conn).unwrap_or_default().into_values() {
+                    self.left(cmd, links);
+                }
+            }
+            Input::Disputed { receipt, .. } => {
+                let (host, sent) = (HostId((receipt >> 32) as u32), (receipt as u32 as Micros) * 1000);
+                self.router.disputed(host, (self.book.now - self.book.born - sent).max(0));
+            }
+            Input::FromHost { host, message } => self.hear_host(HostId(host), message, links),
+            Input::NotDelivered { host, delivery, end } => {
+                if self.is_out(HostId(host), delivery) {
+                    let end = match end {
+                        NoAnswer::NotSent => DeliveryEnd::NotSent,
+                        NoAnswer::NotConnected => DeliveryEnd::NotConnected,
+                        NoAnswer::Reset => DeliveryEnd::Reset,
+                    };
+                    self.ended(delivery, end, links);
+                }
+            }
+            Input::FromList(message) => self.hear_list(message, links),
+            Input::Remembered(lines) => self.list(ListKind::Remembered, &lines, links),
+            Input::ListGone => self.list_failed(),
+            Input::FromDesk(FromDesk::News(news)) => {
+                self.router.told(stage_news(news), &mut Carrier { book: &mut self.book, links });
+            }
+            Input::FromDesk(FromDesk::Voted { ballot, result }) => {
+                // The answer to a vote that has been given up says nothing of the present one.
+                if self.book.ballot.is_some_and(|b| b.0 == ballot) {
+                    self.book.ballot = None;
+                    self.router.vote_answered(match result {
+                        BallotResult::Counted => VoteAnswer::Counted,
+                        BallotResult::Moot => VoteAnswer::Moot,
+                        BallotResult::TooMany => VoteAnswer::TooMany,
+                        BallotResult::Refused => VoteAnswer::Refused,
+                    });
+                }
+            }
+            Input::FromDesk(_) => {}
+            Input::DeskGone => {
+                if self.book.ballot.take().is_some() {
+                    self.router.vote_answered(VoteAnswer::Silence);
+                }
+            }
+            Input::Told { router, text } => self.router.heard(router, &text),
+            Input::Close => self.closing = true,
+            Input::Wake => self.wake(links),
+        }
+        self.settle(links);
+    }
+
+    /// To be called at [`Engine::next_wake`] or soon after.
+    pub fn woken(&mut self, now: Micros, links: &mut dyn Links) {
+        self.take(now, Input::Wake, links);
+    }
+
+    fn at(&mut self, now: Micros) {
+        self.book.now = self.book.now.max(now);
+        self.router.at(self.book.now);
+    }
+
+    // ---- Clients ----
+
+    fn command(&mut self, conn: u64, command: Command, links: &mut dyn Links) {
+        let book = &mut self.book;
+        let margin = self.terms.answer_margin;
+        let left = command.left_us.min(Micros::MAX as u64 / 4) as Micros - margin;
+        let known = usize::from(command.op) < self.terms.service.ops.len();
+        let full = book.owed_by.len() >= self.terms.held_at_most;
+        if book.by_client.get(&conn).is_some_and(|ids| ids.contains_key(&command.id)) {
+            // Two answers under one number could not be told apart. The link closes it, which ends the first.
+            return links.to_client(conn, ToClient::Refused(FrameFault::IdInUse(command.id).refused()));
+        }
+        book.counts.taken += 1;
+        if self.closing || full || left <= 0 || !known {
+            // Nothing of it has run anywhere, whatever its op type: trying again is harmless.
+            book.counts.over_held += u64::from(full);
+            book.counts.nacked += 1;
+            let service = &self.terms.service;
+            let come_back_us = (service.may_name_return && known).then_some(service.longest_return as u64);
+            return links.to_client(conn, ToClient::Nacked { id: command.id, come_back_us });
+        }
+        let cmd = book.fresh_id();
+        let until = book.now + left;
+        book.by_client.entry(conn).or_default().insert(command.id, cmd);
+        book.owed_by.insert((until, cmd));
+        let owed = Owed {
+            conn,
+            id: command.id,
+            op: command.op,
+            share: command.share,
+            key: command.key,
+            mark: command.mark,
+            until,
+            answered: false,
+            body: command.body,
+            deliveries: Vec::new(),
+            open: 0,
+        };
+        book.cmds.insert(cmd, owed);
+        let (op, share, key) = (OpType(command.op), ShareId(command.share), Key(command.key));
+        self.router.command(cmd, op, share, key, left, &mut Carrier { book, links });
+    }
+
+    /// The client waits no longer: nothing is owed, what is out still ends.
+    fn left(&mut self, cmd: CommandId, links: &mut dyn Links) {
+        let Some(owed) = self.book.cmds.get_mut(&cmd).filter(|o| !o.answered) else { return };
+        owed.answered = true;
+        let until = owed.until;
+        self.book.owed_by.remove(&(until, cmd));
+        self.book.counts.left += 1;
+        self.router.end(cmd, &mut Carrier { book: &mut self.book, links });
+        self.book.forget(cmd);
+    }
+
+    // ---- Hosts ----
+
+    fn is_out(&self, host: HostId, delivery: u64) -> bool {
+        self.book.out.get(&delivery).is_some_and(|out| out.host == host)
+    }
+
+    fn hear_host(&mut self, host: HostId, message: FromHost, links: &mut dyn Links) {
+        match message {
+            FromHost::Welcome { build, incarnation, up_us, .. } => {
+                self.host_speaks(host, build, incarnation, up_us, links)
+            }
+            FromHost::Acked { delivery, body } if self.is_out(host, delivery) => {
+                let out = &self.book.out[&delivery];
+                let (cmd, sent) = (out.cmd, (out.sent - self.book.born) / 1000);
+                let receipt = u64::from(host.0) << 32 | u64::from(sent as u32);
+                let build = self.book.places.get(&host).map_or(0, |p| p.build().0);
+                self.book.answer(cmd, links, |id| ToClient::Acked { id, build, receipt, body });
+                self.ended(delivery, DeliveryEnd::Acked, links);
+            }
+            FromHost::Error { delivery } if self.is_out(host, delivery) => {
+                self.ended(delivery, DeliveryEnd::Error, links);
+            }
+            FromHost::Full { delivery } if self.is_out(host, delivery) => {
+                self.ended(delivery, DeliveryEnd::Full, links);
+            }
+            FromHost::Answering { delivery } if self.is_out(host, delivery) => {
+                let out = &self.book.out[&delivery];
+                self.router.answer_started(out.cmd, out.nth);
+            }
+            FromHost::Acked { .. } | FromHost::Error { .. } | FromHost::Full { .. } => {
+                self.book.counts.late += 1;
+            }
+            _ => {}
+        }
+    }
+
+    /// A host's own word on its process is newer than the list's: one that has restarted is cold, and the list
+    /// says so only seconds later.
+    fn host_speaks(&mut self, host: HostId, build: u16, incarnation: u64, up_us: u64, links: &mut dyn Links) {
+        let Some(place) = self.book.places.get_mut(&host).filter(|p| p.incarnation < incarnation) else {
+            return;
+        };
+        let started = self.book.now - up_us.min(Micros::MAX as u64 / 4) as Micros;
+        place.incarnation = incarnation;
+        (place.line.build, place.line.started) = (Some(BuildId(build)), Some(started));
+        let line = place.line;
+        self.router.listed(ListKind::Changes, &[line], &mut Carrier { book: &mut self.book, links });
+    }
+
+    fn ended(&mut self, delivery: u64, end: DeliveryEnd, links: &mut dyn Links) {
+        let Some(out) = self.book.close(delivery) else { return };
+        let took = self.book.now - out.sent;
+        let done = self.book.cmds.get(&out.cmd).is_none_or(|o| o.answered);
+        let carrier = &mut Carrier { book: &mut self.book, links };
+        self.router.ended(out.cmd, out.nth, end, took, done, carrier);
+        self.book.forget(out.cmd);
+    }
+
+    // ---- The list ----
+
+    fn hear_list(&mut self, message: FromList, links: &mut dyn Links) {
+        let (kind, version, lines) = match message {
+            FromList::Whole { version, lines } => (ListKind::Whole, version, lines),
+            FromList::Changes { version, lines } => (ListKind::Changes, version, lines),
+            FromList::Failed => return self.list_failed(),
+            FromList::Welcome | FromList::Refused(_) => return,
+        };
+        self.book.list_version = Some(version);
+        self.list(kind, &lines, links);
+    }
+
+    fn list(&mut self, kind: ListKind, lines: &[Line], links: &mut dyn Links) {
+        let told: Vec<HostLine> = lines.iter().map(|line| self.host_line(line)).collect();
+        if kind != ListKind::Changes {
+            let named: BTreeSet<HostId> = told.iter().map(|line| line.host).collect();
+            let places = self.book.places.iter_mut();
+            for (&host, place) in
+                places.filter(|(h, p)| p.line.phase != HostPhase::Gone && !named.contains(h))
+            {
+                place.line.phase = HostPhase::Gone;
+                links.host_closed(host, true);
+            }
+        }
+        for line in &told {
+            if line.phase == HostPhase::Ready {
+                let place = &self.book.places[&line.host];
+                links.host_open(line.host, &place.address, place.incarnation);
+            } else {
+                links.host_closed(line.host, line.phase == HostPhase::Gone);
+            }
+        }
+        self.router.listed(kind, &told, &mut Carrier { book: &mut self.book, links });
+    }
+
+    /// The module hears of failures only where it has to ask.
+    fn list_failed(&mut self) {
+        if self.terms.service.list_must_be_asked {
+            self.router.list_failed();
+        }
+    }
+
+    fn host_line(&mut self, line: &Line) -> HostLine {
+        let host = HostId(line.host);
+        let phase = match line.phase {
+            LinePhase::Gone => HostPhase::Gone,
+            LinePhase::Ready => HostPhase::Ready,
+            LinePhase::Draining => HostPhase::Draining,
+        };
+        let up = line.up_us.map(|up| up.min(Micros::MAX as u64 / 4) as Micros);
+        let (build, zone) = (line.build.map(BuildId), ZoneId(line.zone));
+        let fresh = HostLine { host, build, cell: line.cell, zone, phase, started: None };
+        let mut first = false;
+        let place = self.book.places.entry(host).or_insert_with(|| {
+            first = true;
+            Place { address: String::new(), incarnation: line.incarnation, line: fresh }
+        });
+        if first || line.incarnation > place.incarnation {
+            // Computed once for each process: said again it would differ by the way of the message.
+            place.line.started = up.map(|up| self.book.now - up);
+        }
+        if line.incarnation >= place.incarnation {
+            place.line.build = build.or(place.line.build);
+            place.incarnation = line.incarnation;
+            place.address.clone_from(&line.address);
+        }
+        // Of an earlier process than the host itself has told of, only the phase is taken: it is the list's.
+        place.line = HostLine { cell: line.cell, zone, phase, ..place.line };
+        place.line
+    }
+
+    // ---- Time ----
+
+    fn wake(&mut self, links: &mut dyn Links) {
+        let now = self.book.now;
+        while self.book.wakes.first().is_some_and(|at| *at <= now) {
+            self.book.wakes.pop_first();
+            // Beats that were missed are made up by one.
+            if self.book.wakes.first().is_none_or(|at| *at > now) {
+                self.router.woken(&mut Carrier { book: &mut self.book, links });
+            }
+        }
+        while let Some(&(at, delivery)) = self.book.due.first().filter(|d| d.0 <= now) {
+            self.book.due.remove(&(at, delivery));
+            let host = self.book.out[&delivery].host;
+            links.to_host(host, ToHost::Cancel { delivery }, Micros::MAX);
+            self.ended(delivery, DeliveryEnd::TimedOut, links);
+        }
+        self.settle(links);
+        while let Some(&(_, cmd)) = self.book.owed_by.first().filter(|d| d.0 <= now) {
+            self.book.counts.overdue += 1;
+            self.book.answer(cmd, links, |id| ToClient::Failed { id });
+            self.router.end(cmd, &mut Carrier { book: &mut self.book, links });
+            self.book.forget(cmd);
+        }
+        if self.book.ballot.is_some_and(|b| b.1 <= now) {
+            self.book.ballot = None;
+            self.router.vote_answered(VoteAnswer::Silence);
+        }
+    }
+
+    /// Tells the module of the ends that its own calls have caused, until none is left: each takes a delivery
+    /// off the books, and a command has few.
+    fn settle(&mut self, links: &mut dyn Links) {
+        while let Some((delivery, end)) = self.book.ends.pop_front() {
+            self.ended(delivery, end, links);
+        }
+        if std::mem::take(&mut self.book.list_failed) {
+            self.list_failed();
+        }
+        if std::mem::take(&mut self.book.ballot_failed) {
+            self.router.vote_answered(VoteAnswer::Refused);
+        }
+    }
+}
+
+fn stage_news(news: News) -> StageNews {
+    StageNews {
+        build: BuildId(news.build),
+        stage: news.stage,
+        standing: match news.standing {
+            NewsStanding::OnTrial => Standing::OnTrial,
+            NewsStanding::GoingBack => Standing::GoingBack,
+            NewsStanding::Released => Standing::Released,
+            NewsStanding::Withdrawn => Standing::Withdrawn,
+        },
+        cap: f64::from(news.cap.clamp(0.0, 1.0)),
+        age: news.age_us.min(Micros::MAX as u64 / 4) as Micros,
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-engine/src/input.rs
@@ -0,0 +1,137 @@
+//! What reaches a router, and its recording: the same inputs through the engine give the same outputs.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use spokeflow_core::Micros;
+use spokeflow_proto::{Command, FromDesk, FromHost, FromList, Line};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Input {
+    Command {
+        conn: u64,
+        command: Command,
+    },
+    Leave {
+        conn: u64,
+        id: u64,
+    },
+    Disputed {
+        conn: u64,
+        receipt: u64,
+    },
+    ClientGone {
+        conn: u64,
+    },
+    FromHost {
+        host: u32,
+        message: FromHost,
+    },
+    /// How a delivery ended that brought no message back: never left, no connection, or broken.
+    NotDelivered {
+        host: u32,
+        delivery: u64,
+        end: NoAnswer,
+    },
+    FromList(FromList),
+    /// The list as it was when an earlier process last heard of it.
+    Remembered(Vec<Line>),
+    /// The list cannot be asked now, or its watch broke.
+    ListGone,
+    FromDesk(FromDesk),
+    DeskGone,
+    Told {
+        router: u32,
+        text: Vec<u8>,
+    },
+    /// Takes no more commands.
+    Close,
+    Wake,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoAnswer {
+    /// Not a whole frame left: it never ran.
+    NotSent,
+    /// No connection could be made, or the host refused it: it never ran.
+    NotConnected,
+    /// The connection broke after the frame had left: it may have run.
+    Reset,
+}
+
+const MARK: &[u8; 8] = b"SPKFREC1";
+
+/// Inputs with their times, as bytes: a mark and version, then for each a length, a checksum and its body.
+pub struct Recording;
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum RecordingFault {
+    /// Not a recording, or of another version.
+    NotOne,
+    /// True up to `whole` inputs; what follows at byte `at` is torn or damaged.
+    Torn { whole: usize, at: usize },
+}
+
+impl fmt::Display for RecordingFault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            RecordingFault::NotOne => write!(f, "not a recording of this version"),
+            RecordingFault::Torn { whole, at } => {
+                write!(f, "torn at byte {at}: {whole} inputs before it are whole")
+            }
+        }
+    }
+}
+
+impl std::error::Error for RecordingFault {}
+
+impl Recording {
+    pub fn head(seed: u64, now: Micros) -> Vec<u8> {
+        let mut head = MARK.to_vec();
+        head.extend(seed.to_be_bytes());
+        head.extend(now.to_be_bytes());
+        head
+    }
+
+    /// One input, ready to be appended.
+    pub fn entry(now: Micros, input: &Input) -> Vec<u8> {
+        let body = postcard::to_stdvec(&(now, input)).expect("plain types always serialize");
+        let mut entry = (body.len() as u32).to_be_bytes().to_vec();
+        entry.extend(sum(&body).to_be_bytes());
+        entry.extend(body);
+        entry
+    }
+
+    /// The seed, the time of start, the inputs, and the fault at which reading ended, if any.
+    pub fn read(bytes: &[u8]) -> (u64, Micros, Vec<(Micros, Input)>, Option<RecordingFault>) {
+        let number = |from: usize| {
+            let part = bytes.get(from..from + 8).and_then(|b| <[u8; 8]>::try_from(b).ok());
+            part.map(u64::from_be_bytes)
+        };
+        let (Some(seed), Some(now), true) = (number(8), number(16), bytes.starts_with(MARK)) else {
+            return (0, 0, Vec::new(), Some(RecordingFault::NotOne));
+        };
+        let (mut inputs, mut at) = (Vec::new(), 24);
+        while at < bytes.len() {
+            let entry = (|| {
+                let head = bytes.get(at..at + 8)?;
+                let length = u32::from_be_bytes(head[..4].try_into().ok()?) as usize;
+                let body = bytes.get(at + 8..at.checked_add(8 + length)?)?;
+                (head[4..] == sum(body).to_be_bytes()).then_some(())?;
+                Some((postcard::from_bytes(body).ok()?, 8 + length))
+            })();
+            let Some((input, length)) = entry else {
+                let fault = RecordingFault::Torn { whole: inputs.len(), at };
+                return (seed, now as Micros, inputs, Some(fault));
+            };
+            inputs.push(input);
+            at += length;
+        }
+        (seed, now as Micros, inputs, None)
+    }
+}
+
+/// FNV-1a, 32 bits: enough to tell a torn entry from a whole one.
+fn sum(bytes: &[u8]) -> u32 {
+    bytes.iter().fold(0x811c_9dc5, |h, b| (h ^ u32::from(*b)).wrapping_mul(0x0100_0193))
+}
--- /dev/null
+++ b/crates/spokeflow-engine/tests/common/mod.rs
@@ -0,0 +1,267 @@
+//! A rig around one engine: it notes what the engine sends, plays hosts and keeps the recording.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use spokeflow_core::*;
+use spokeflow_engine::{Engine, EngineTerms, Input, Links, NoAnswer, Recording};
+use spokeflow_proto::*;
+
+pub const SECOND: Micros = 1_000_000;
+pub const MARGIN: Micros = 20_000;
+
+#[derive(Default)]
+pub struct Noted {
+    pub now: Micros,
+    /// Deliveries that the rig's hosts have not ended: host, number, op type.
+    pub sent: Vec<(u32, u64, u16)>,
+    pub answers: Vec<(Micros, u64, ToClient)>,
+    pub votes: Vec<ToDesk>,
+    pub closed: Vec<(u32, bool)>,
+    /// A host whose queue has no room.
+    pub stuffed: Option<u32>,
+    /// All that was sent, in order.
+    pub text: String,
+}
+
+impl Noted {
+    fn note(&mut self, what: impl std::fmt::Debug) {
+        writeln!(self.text, "{} {what:?}", self.now).unwrap();
+    }
+
+    pub fn one_answer_each(&self, commands: u64) {
+        let mut count = BTreeMap::new();
+        self.answers.iter().for_each(|a| *count.entry(id_of(&a.2)).or_insert(0) += 1);
+        assert!((1..=commands).all(|id| count.get(&id) == Some(&1)), "{count:?}");
+    }
+}
+
+pub fn id_of(answer: &ToClient) -> u64 {
+    match answer {
+        ToClient::Acked { id, .. } | ToClient::Nacked { id, .. } | ToClient::Failed { id } => *id,
+        other => panic!("{other:?}"),
+    }
+}
+
+impl Links for Noted {
+    fn to_client(&mut self, conn: u64, message: ToClient) {
+        self.note((conn, &message));
+        self.answers.push((self.now, conn, message));
+    }
+    fn to_host(&mut self, host: HostId, message: ToHost, leave_by: Micros) -> bool {
+        self.note((host, &message, leave_by));
+        if let ToHost::Deliver { delivery, op, .. } = message {
+            if self.stuffed == Some(host.0) {
+                return false;
+            }
+            self.sent.push((host.0, delivery, op));
+        }
+        true
+    }
+    fn to_list(&mut self, message: ToList) -> bool {
+        self.note(message);
+        true
+    }
+    fn to_desk(&mut self, message: ToDesk) -> bool {
+        self.note(&message);
+        self.votes.push(message);
+        true
+    }
+    fn to_routers(&mut self, router: Option<u32>, text: &[u8]) {
+        self.note((router, text));
+    }
+    fn host_open(&mut self, host: HostId, address: &str, incarnation: u64) {
+        self.note((host, address, incarnation));
+    }
+    fn host_closed(&mut self, host: HostId, gone: bool) {
+        self.note((host, gone));
+        self.closed.push((host.0, gone));
+    }
+}
+
+pub struct Rig {
+    pub engine: Engine,
+    pub links: Noted,
+    pub now: Micros,
+    pub recording: Vec<u8>,
+    chance: Chance,
+    version: u64,
+}
+
+fn terms() -> EngineTerms {
+    let op = |repeat, repeat_scope| OpTerms {
+        repeat,
+        repeat_scope,
+        repeat_memory: 800_000,
+        service_target: 600_000,
+        command_timeout: 2 * SECOND,
+        importance: 1.0,
+        streamed: false,
+    };
+    let service = ServiceTerms {
+        ops: vec![
+            op(Repeat::Redeliverable, RepeatScope::Unknown),
+            op(Repeat::Deduplicated, RepeatScope::All),
+            op(Repeat::AtMostOnce, RepeatScope::Unknown),
+        ],
+        shares: vec![20.0, 5.0],
+        own_zone: ZoneId(0),
+        own_index: 0,
+        fleet_size: 1,
+        tick: 5_000,
+        list_must_be_asked: false,
+        list_ask_within: 10 * SECOND,
+        delivery_cap: 4,
+        side_by_side: true,
+        may_cancel: true,
+        may_probe: false,
+        may_tell: false,
+        may_name_return: true,
+        longest_return: 2 * SECOND,
+        drain_grace: 250_000,
+        cold_from: 0.4,
+        warm_within: 4 * SECOND,
+        fall_multiple: 3.0,
+        fall_span: 2 * SECOND,
+        gate: Gate::Single,
+        stage_caps: vec![0.1, 0.4, 1.0],
+        stage_shares: vec![0.1, 0.4, 1.0],
+        exposure_free: 2.0,
+        exposure_span: 4 * SECOND,
+        exposure_by_op: false,
+        guarded_stages: 0,
+        forward_only: true,
+        rolling: true,
+        stage_bake: SECOND,
+        vote_life: 6 * SECOND,
+        vote_wait: SECOND,
+        complaint_share: 0.2,
+    };
+    EngineTerms { service, answer_margin: MARGIN, held_at_most: 1000 }
+}
+
+impl Rig {
+    pub fn new(chance: u64, seed: u64) -> Rig {
+        let (mut links, now) = (Noted::default(), 100 * SECOND);
+        let engine = Engine::new(terms(), seed, now, &mut links);
+        let recording = Recording::head(seed, now);
+        Rig { engine, links, now, recording, chance: Chance::new(chance), version: 0 }
+    }
+
+    pub fn replay(seed: u64, start: Micros, inputs: &[(Micros, Input)]) -> String {
+        let mut links = Noted::default();
+        let mut engine = Engine::new(terms(), seed, start, &mut links);
+        for (now, input) in inputs {
+            links.now = *now;
+            engine.take(*now, input.clone(), &mut links);
+        }
+        links.text
+    }
+
+    pub fn input(&mut self, input: Input) {
+        self.links.now = self.now;
+        self.recording.extend(Recording::entry(self.now, &input));
+        self.engine.take(self.now, input, &mut self.links);
+    }
+
+    pub fn draw(&mut self, below: usize) -> u64 {
+        self.chance.below(below) as u64
+    }
+
+    fn line(host: u32, build: u16, phase: LinePhase, incarnation: u64) -> Line {
+        let up_us = (incarnation > 1).then_some(1000);
+        let address = format!("127.0.0.1:{host}");
+        Line { host, address, build: Some(build), cell: 0, zone: 0, phase, incarnation, up_us }
+    }
+
+    pub fn list(&mut self, hosts: &[u32], build: u16) {
+        let lines = hosts.iter().map(|h| Self::line(*h, build, LinePhase::Ready, 1)).collect();
+        self.input(Input::FromList(FromList::Whole { version: 1, lines }));
+        let news = News { build, stage: 2, standing: NewsStanding::Released, cap: 1.0, age_us: 0 };
+        self.input(Input::FromDesk(FromDesk::News(news)));
+    }
+
+    pub fn change(&mut self, host: u32, build: u16, phase: LinePhase, incarnation: u64) {
+        self.version += 1;
+        let lines = vec![Self::line(host, build, phase, incarnation)];
+        self.input(Input::FromList(FromList::Changes { version: self.version, lines }));
+    }
+
+    pub fn command(&mut self, conn: u64, id: u64, op: u16, key: u64) {
+        self.command_within(conn, id, op, key, 2 * SECOND);
+    }
+
+    pub fn command_within(&mut self, conn: u64, id: u64, op: u16, key: u64, left: Micros) {
+        let body = Default::default();
+        let command = Command { id, op, share: 0, key, mark: id, left_us: left as u64, body };
+        self.input(Input::Command { conn, command });
+    }
+
+    pub fn host(&mut self, host: u32, message: FromHost) {
+        self.input(Input::FromHost { host, message });
+    }
+
+    /// The one delivery that is out.
+    pub fn delivered(&mut self) -> (u32, u64) {
+        assert_eq!(self.links.sent.len(), 1);
+        let (host, delivery, _) = self.links.sent.pop().unwrap();
+        (host, delivery)
+    }
+
+    pub fn answers(&self, conn: u64) -> Vec<ToClient> {
+        self.links.answers.iter().filter(|a| a.1 == conn).map(|a| a.2.clone()).collect()
+    }
+
+    /// Time goes by; the engine is woken when it has asked for it.
+    pub fn pass(&mut self, span: Micros) {
+        let until = self.now + span;
+        while self.engine.next_wake() <= until {
+            self.now = self.engine.next_wake().max(self.now);
+            self.input(Input::Wake);
+        }
+        self.now = until;
+    }
+
+    pub fn answer_some(&mut self) {
+        while self.links.sent.len() > 4 {
+            let (host, delivery, _) = self.links.sent.remove(0);
+            self.host(host, FromHost::Acked { delivery, body: Default::default() });
+        }
+    }
+
+    /// Steady commands, each answered at once.
+    pub fn answer_all(&mut self, span: Micros) {
+        let until = self.now + span;
+        let first = 1_000_000 + self.now as u64;
+        for id in first.. {
+            if self.now >= until {
+                break;
+            }
+            self.command(99, id, 0, 0);
+            self.pass(20_000);
+            for (host, delivery, _) in std::mem::take(&mut self.links.sent) {
+                self.host(host, FromHost::Acked { delivery, body: Default::default() });
+            }
+        }
+    }
+
+    pub fn warm_up(&mut self) {
+        self.answer_all(6 * SECOND);
+    }
+
+    /// One of the deliveries that are out ends, in any way.
+    pub fn end_one(&mut self) {
+        if self.links.sent.is_empty() {
+            return;
+        }
+        let pick = self.draw(self.links.sent.len()) as usize;
+        let (host, delivery, _) = self.links.sent.remove(pick);
+        match self.draw(6) {
+            0 | 1 => self.host(host, FromHost::Acked { delivery, body: Default::default() }),
+            2 => self.host(host, FromHost::Error { delivery }),
+            3 => self.host(host, FromHost::Full { delivery }),
+            4 => self.input(Input::NotDelivered { host, delivery, end: NoAnswer::Reset }),
+            _ => self.input(Input::NotDelivered { host, delivery, end: NoAnswer::NotConnected }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-engine/tests/engine.rs
@@ -0,0 +1,255 @@
+//! The engine alone: ids, late answers, peers that vanish, drains of what has not left, recordings.
+
+mod common;
+
+use common::*;
+use spokeflow_core::Micros;
+use spokeflow_engine::{Input, NoAnswer, Recording, RecordingFault};
+use spokeflow_proto::{FromDesk, FromHost, LinePhase, News, NewsStanding, ToClient};
+
+const SAFE: u16 = 0;
+const ONCE: u16 = 2;
+
+#[test]
+fn an_acked_delivery_is_the_one_final_answer() {
+    let mut rig = Rig::new(1, 0);
+    rig.list(&[1, 2], 7);
+    rig.command(10, 5, ONCE, 1);
+    let (host, delivery) = rig.delivered();
+    rig.host(host, FromHost::Acked { delivery, body: Default::default() });
+    assert!(matches!(rig.answers(10)[..], [ToClient::Acked { id: 5, build: 7, .. }]));
+    // Said twice, or after the end, it is only counted.
+    rig.host(host, FromHost::Acked { delivery, body: Default::default() });
+    rig.pass(5 * SECOND);
+    assert_eq!(rig.answers(10).len(), 1);
+    assert_eq!((rig.engine.counts().late, rig.engine.held()), (1, 0));
+}
+
+#[test]
+fn a_break_after_the_frame_left_is_no_proof_and_one_before_is() {
+    let mut rig = Rig::new(2, 0);
+    rig.list(&[1, 2], 7);
+    rig.command(10, 1, ONCE, 1);
+    let (host, delivery) = rig.delivered();
+    rig.input(Input::NotDelivered { host, delivery, end: NoAnswer::Reset });
+    assert!(
+        matches!(rig.answers(10)[..], [ToClient::Failed { id: 1 }]),
+        "may have run: {:?}",
+        rig.answers(10)
+    );
+    assert_eq!(rig.links.sent.len(), 0);
+
+    rig.command(10, 2, ONCE, 1);
+    let (host, delivery) = rig.delivered();
+    rig.input(Input::NotDelivered { host, delivery, end: NoAnswer::NotConnected });
+    let (second, delivery) = rig.delivered();
+    assert_ne!(host, second);
+    rig.host(second, FromHost::Acked { delivery, body: Default::default() });
+    assert!(matches!(rig.answers(10)[1..], [ToClient::Acked { id: 2, .. }]));
+}
+
+#[test]
+fn silence_ends_in_a_failure_before_the_client_gives_up() {
+    let mut rig = Rig::new(3, 0);
+    rig.list(&[1, 2], 7);
+    rig.command(10, 1, ONCE, 1);
+    let sent_at = rig.now;
+    rig.delivered();
+    rig.pass(3 * SECOND);
+    let (at, answer) =
+        rig.links.answers.iter().find(|(_, conn, _)| *conn == 10).map(|a| (a.0, &a.2)).unwrap();
+    assert!(matches!(answer, ToClient::Failed { id: 1 }));
+    assert!(at - sent_at <= 2 * SECOND - MARGIN, "answered after {}", at - sent_at);
+    assert_eq!(rig.engine.counts().overdue, 0);
+}
+
+#[test]
+fn a_client_that_vanishes_is_owed_nothing_and_its_numbers_are_free_again() {
+    let mut rig = Rig::new(4, 0);
+    rig.list(&[1, 2], 7);
+    rig.command(10, 1, SAFE, 1);
+    let (host, delivery) = rig.delivered();
+    rig.input(Input::ClientGone { conn: 10 });
+    rig.host(host, FromHost::Acked { delivery, body: Default::default() });
+    assert!(rig.answers(10).is_empty());
+    rig.command(10, 1, SAFE, 1);
+    let (host, delivery) = rig.delivered();
+    rig.host(host, FromHost::Acked { delivery, body: Default::default() });
+    assert_eq!(rig.answers(10).len(), 1);
+}
+
+#[test]
+fn a_number_in_use_is_refused_and_the_first_command_is_not_touched() {
+    let mut rig = Rig::new(5, 0);
+    rig.list(&[1], 7);
+    rig.command(10, 1, SAFE, 1);
+    rig.command(11, 1, SAFE, 2);
+    rig.command(10, 1, SAFE, 3);
+    assert!(matches!(&rig.answers(10)[..], [ToClient::Refused(r)] if r.code == 9));
+    assert!(rig.answers(11).is_empty(), "the same number on another connection is another command");
+    assert_eq!(rig.engine.held(), 2);
+}
+
+#[test]
+fn ids_of_the_module_come_round_without_meeting_one_that_is_held() {
+    let mut rig = Rig::new(6, 0);
+    rig.list(&[1, 2, 3], 7);
+    rig.engine.skip_ids_to(u32::MAX - 1);
+    for id in 0..4 {
+        rig.command(10, id, SAFE, 0);
+    }
+    rig.engine.skip_ids_to(u32::MAX - 1);
+    rig.command(10, 9, SAFE, 0);
+    let sent: Vec<_> = std::mem::take(&mut rig.links.sent);
+    assert_eq!(sent.len(), 5);
+    for (host, delivery, _) in sent {
+        rig.host(host, FromHost::Acked { delivery, body: Default::default() });
+    }
+    let mut ids: Vec<u64> = rig.answers(10).iter().map(id_of).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, [0, 1, 2, 3, 9]);
+}
+
+#[test]
+fn a_host_that_does_not_read_is_like_a_full_one_and_the_command_goes_elsewhere() {
+    let mut rig = Rig::new(7, 0);
+    rig.list(&[1, 2], 7);
+    rig.links.stuffed = Some(1);
+    for id in 0..6 {
+        rig.command(10, id, ONCE, 0);
+    }
+    assert_eq!(rig.links.sent.len(), 6);
+    assert!(rig.links.sent.iter().all(|s| s.0 == 2));
+    assert!(rig.answers(10).is_empty());
+}
+
+#[test]
+fn a_draining_host_is_closed_and_what_had_not_left_goes_elsewhere() {
+    let mut rig = Rig::new(8, 0);
+    rig.list(&[1, 2], 7);
+    rig.command(10, 1, ONCE, 1);
+    let (host, delivery) = rig.delivered();
+    rig.change(host, 7, LinePhase::Draining, 1);
+    assert_eq!(rig.links.closed, [(host, false)]);
+    rig.input(Input::NotDelivered { host, delivery, end: NoAnswer::NotSent });
+    let (second, _) = rig.delivered();
+    assert_ne!(host, second);
+}
+
+#[test]
+fn a_host_that_has_restarted_is_cold_by_its_own_word_before_the_list_says_so() {
+    let mut rig = Rig::new(9, 0);
+    rig.list(&[1], 7);
+    rig.warm_up();
+    rig.host(1, FromHost::Welcome { host: 1, build: 7, incarnation: 99, up_us: 1000 });
+    for id in 0..40 {
+        rig.command(10, id, SAFE, 0);
+    }
+    let cold = rig.links.sent.len();
+    assert!(cold < 10, "{cold} commands at once for a host that started a millisecond ago");
+    // The list's older word does not make it warm again.
+    rig.change(1, 7, LinePhase::Ready, 1);
+    assert_eq!(rig.links.sent.len(), cold);
+}
+
+#[test]
+fn what_is_too_short_unknown_or_too_much_is_nacked_at_once() {
+    let mut rig = Rig::new(10, 0);
+    rig.list(&[1], 7);
+    rig.command(10, 1, 77, 1);
+    rig.command_within(10, 2, ONCE, 1, MARGIN);
+    rig.input(Input::Close);
+    rig.command(10, 3, ONCE, 1);
+    assert!(matches!(
+        rig.answers(10)[..],
+        [ToClient::Nacked { id: 1, .. }, ToClient::Nacked { id: 2, .. }, ToClient::Nacked { id: 3, .. }]
+    ));
+    assert!(rig.links.sent.is_empty());
+}
+
+#[test]
+fn a_vote_without_an_answer_is_cast_again() {
+    let mut rig = Rig::new(11, 0);
+    rig.list(&[1, 2], 7);
+    rig.warm_up();
+    rig.change(3, 8, LinePhase::Ready, 2);
+    let news = News { build: 8, stage: 0, standing: NewsStanding::OnTrial, cap: 1.0, age_us: 0 };
+    rig.input(Input::FromDesk(FromDesk::News(news)));
+    rig.answer_all(4 * SECOND);
+    let votes = rig.links.votes.len();
+    assert!(votes >= 1, "a quiet build gets a vote to go on");
+    rig.answer_all(4 * SECOND);
+    assert!(rig.links.votes.len() > votes);
+}
+
+#[test]
+fn the_same_recording_gives_the_same_outputs_byte_for_byte() {
+    let mut rig = Rig::new(12, 77);
+    rig.list(&[1, 2, 3], 7);
+    for id in 0..300 {
+        rig.command(10 + id % 3, id, (id % 3) as u16, id % 17);
+        rig.answer_some();
+        if id == 100 {
+            rig.change(4, 8, LinePhase::Ready, 5);
+        }
+        rig.pass(7_000);
+    }
+    let (seed, start, inputs, fault) = Recording::read(&rig.recording);
+    assert_eq!((seed, fault), (77, None));
+    let replayed = Rig::replay(seed, start, &inputs);
+    assert!(rig.links.text.len() > 10_000);
+    assert_eq!(rig.links.text, replayed);
+}
+
+#[test]
+fn a_torn_recording_is_true_up_to_a_stated_point() {
+    let mut bytes = Recording::head(1, 5);
+    let first = Recording::entry(6, &Input::Wake);
+    bytes.extend(&first);
+    bytes.extend(Recording::entry(7, &Input::Close));
+    let whole = 24 + first.len();
+    for cut in whole + 1..bytes.len() {
+        let (_, _, inputs, fault) = Recording::read(&bytes[..cut]);
+        assert_eq!(inputs, [(6, Input::Wake)]);
+        assert_eq!(fault, Some(RecordingFault::Torn { whole: 1, at: whole }));
+    }
+    let last = bytes.len() - 1;
+    bytes[last] ^= 1;
+    assert_eq!(Recording::read(&bytes).3, Some(RecordingFault::Torn { whole: 1, at: whole }));
+    assert_eq!(Recording::read(b"something else entirely, long enough").3, Some(RecordingFault::NotOne));
+}
+
+#[test]
+fn any_order_of_inputs_keeps_one_answer_for_each_command() {
+    // Seeded: hosts answer, break, stay silent, restart and drain; clients come and go.
+    for seed in 0..60 {
+        let mut rig = Rig::new(seed, seed);
+        rig.list(&[1, 2, 3, 4], 7);
+        let mut id = 0;
+        for _ in 0..400 {
+            match rig.draw(9) {
+                0..=3 => {
+                    id += 1;
+                    let (op, key) = (rig.draw(3) as u16, rig.draw(9));
+                    let left = MARGIN + 1000 * (1 + rig.draw(1500) as Micros);
+                    rig.command_within(10 + id % 2, id, op, key, left);
+                }
+                4 | 5 => rig.end_one(),
+                6 => {
+                    let host = 1 + rig.draw(4) as u32;
+                    let phase =
+                        [LinePhase::Ready, LinePhase::Draining, LinePhase::Gone][rig.draw(3) as usize];
+                    let (build, incarnation) = (7 + rig.draw(2) as u16, rig.draw(50));
+                    rig.change(host, build, phase, incarnation);
+                }
+                _ => {
+                    let wait = rig.draw(60_000) as Micros;
+                    rig.pass(wait);
+                }
+            }
+        }
+        rig.pass(3 * SECOND);
+        rig.links.one_answer_each(id);
+        assert_eq!((rig.engine.held(), rig.engine.counts().overdue), (0, 0), "seed {seed}");
+    }
+}
--- a/crates/spokeflow-proto/src/codec.rs
+++ b/crates/spokeflow-proto/src/codec.rs
@@ -163,11 +163,11 @@
     )
 }
 
-impl<In, Out: Serialize> Encoder<&Out> for FrameCodec<In, Out> {
-    type Error = FrameFault;
-
+impl<In, Out: Serialize> FrameCodec<In, Out> {
+    /// Appends one frame.
+    ///
     /// Errors: `Oversized`, with nothing written.
-    fn encode(&mut self, message: &Out, to: &mut BytesMut) -> Result<(), FrameFault> {
+    pub fn write(&self, message: &Out, to: &mut BytesMut) -> Result<(), FrameFault> {
         let start = to.len();
         to.put_u32(0);
         let fill = std::mem::take(to).writer();
@@ -189,6 +189,6 @@
     type Error = FrameFault;
 
     fn encode(&mut self, message: Out, to: &mut BytesMut) -> Result<(), FrameFault> {
-        self.encode(&message, to)
+        self.write(&message, to)
     }
 }
--- a/crates/spokeflow-proto/tests/frames.rs
+++ b/crates/spokeflow-proto/tests/frames.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use proptest::prelude::*;
 use spokeflow_proto::*;
-use tokio_util::codec::{Decoder, Encoder};
+use tokio_util::codec::Decoder;
 
 type Codec = FrameCodec<FromClient, FromClient>;
 
@@ -21,7 +21,7 @@
 
 fn bytes_of(message: &FromClient) -> BytesMut {
     let mut bytes = BytesMut::new();
-    Codec::new(WORK_LIMIT).encode(message, &mut bytes).unwrap();
+    Codec::new(WORK_LIMIT).write(message, &mut bytes).unwrap();
     bytes
 }
 
@@ -63,7 +63,7 @@
     let fault = Codec::new(WORK_LIMIT).decode(&mut from).unwrap_err();
     assert!(matches!(fault, FrameFault::Oversized { .. }), "{fault}");
     let mut to = BytesMut::from(&b"before"[..]);
-    assert!(Codec::new(WORK_LIMIT).encode(&command(vec![0; WORK_LIMIT]), &mut to).is_err());
+    assert!(Codec::new(WORK_LIMIT).write(&command(vec![0; WORK_LIMIT]), &mut to).is_err());
     assert_eq!(&to[..], b"before");
 }
 
--- /dev/null
+++ b/crates/spokeflow-router/src/hosts.rs
@@ -0,0 +1,279 @@
+//! One task for each host: its connection, made when there is work, kept, and made anew with growing pauses.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use rand::RngExt;
+use spokeflow_core::{HostId, Micros};
+use spokeflow_engine::{Input, NoAnswer, Outgoing};
+use spokeflow_proto::{FrameCodec, FromHost, Hello, ToHost, WORK_LIMIT};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, timeout, Instant};
+use tokio_util::codec::FramedRead;
+use tracing::{debug, info};
+
+use crate::serve::{Arrival, Clock};
+
+/// Encoded and not yet taken by the system at most, beside what one message adds.
+const WRITE_AHEAD: usize = 16 << 10;
+
+/// What the list says of the host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub address: String,
+    pub incarnation: u64,
+    pub open: bool,
+    pub gone: bool,
+    /// When an order to drain must have been carried out.
+    pub close_by: Option<Instant>,
+}
+
+/// How connections are made.
+#[derive(Clone, Debug)]
+pub struct LinkTerms {
+    pub hello: Hello,
+    pub connect_timeout: Duration,
+    pub first_pause: Duration,
+    pub longest_pause: Duration,
+    pub idle: Duration,
+}
+
+impl LinkTerms {
+    /// The pause after so many failures in a row, with jitter so that many routers do not return as one.
+    pub fn pause(&self, failures: u32) -> Duration {
+        let whole = self.first_pause.saturating_mul(1 << failures.min(16)).min(self.longest_pause);
+        whole.mul_f64(rand::rng().random_range(0.5..1.0))
+    }
+}
+
+pub struct HostLink {
+    pub host: HostId,
+    pub terms: Arc<LinkTerms>,
+    pub clock: Arc<Clock>,
+    pub core: mpsc::Sender<Arrival>,
+    pub orders: mpsc::Receiver<(ToHost, Micros)>,
+    pub listed: watch::Receiver<Listed>,
+}
+
+type Reader = FramedRead<OwnedReadHalf, FrameCodec<FromHost, ToHost>>;
+
+/// Why the connection is no more.
+enum Ended {
+    Idle,
+    Broken,
+    /// The router is ending, or the host is gone and has nothing left.
+    Done,
+}
+
+impl HostLink {
+    pub async fn run(mut self) {
+        let mut outgoing = Outgoing::default();
+        let mut failures = 0_u32;
+        let mut not_before = Instant::now();
+        loop {
+            if !outgoing.waits() {
+                tokio::select! {
+                    order = self.orders.recv() => match order {
+                        Some(order) => self.order(&mut outgoing, order).await,
+                        None => return,
+                    },
+                    changed = self.listed.changed() => match changed {
+                        Ok(()) => if self.heed(&mut outgoing).await { return },
+                        Err(_) => return,
+                    },
+                }
+                continue;
+            }
+            if Instant::now() < not_before {
+                self.lost(outgoing.broken(0).unsent, NoAnswer::NotConnected).await;
+                continue;
+            }
+            match self.connect(&mut outgoing).await {
+                Ok((reader, writer)) => {
+                    let since = Instant::now();
+                    match self.work(&mut outgoing, reader, writer).await {
+                        Ended::Idle => {}
+                        Ended::Done => return,
+                        Ended::Broken => {
+                            // A host that takes connections and breaks them at once is left alone as well.
+                            failures =
+                                if since.elapsed() > self.terms.longest_pause { 0 } else { failures + 1 };
+                            not_before = Instant::now() + self.terms.pause(failures.saturating_sub(1));
+                        }
+                    }
+                }
+                Err(fault) => {
+                    not_before = Instant::now() + self.terms.pause(failures);
+                    failures += 1;
+                    if let Some(kept_back) = self.clock.line() {
+                        info!(host = self.host.0, failures, kept_back, fault, "host not connected");
+                    }
+                    self.lost(outgoing.broken(0).unsent, NoAnswer::NotConnected).await;
+                }
+            }
+        }
+    }
+
+    async fn order(&self, outgoing: &mut Outgoing, (message, leave_by): (ToHost, Micros)) {
+        if let Some(delivery) = outgoing.push(message, leave_by) {
+            self.lost(vec![delivery], NoAnswer::NotSent).await;
+        }
+    }
+
+    /// Carries out what the list has said; true where this task is to end.
+    async fn heed(&mut self, outgoing: &mut Outgoing) -> bool {
+        let listed = self.listed.borrow_and_update().clone();
+        if listed.open {
+            outgoing.open();
+        } else {
+            let unsent = outgoing.close();
+            self.lost(unsent, NoAnswer::NotSent).await;
+        }
+        listed.gone && outgoing.idle()
+    }
+
+    async fn lost(&self, deliveries: Vec<u64>, end: NoAnswer) {
+        for delivery in deliveries {
+            let input = Input::NotDelivered { host: self.host.0, delivery, end };
+            let _ = self.core.send(Arrival::Input(input)).await;
+        }
+    }
+
+    /// Makes the connection; orders are taken meanwhile, so that a drain or a cancel does not wait for it.
+    async fn connect(&mut self, outgoing: &mut Outgoing) -> Result<(Reader, OwnedWriteHalf), String> {
+        let listed = self.listed.borrow().clone();
+        let (host, hello) = (self.host, self.terms.hello.clone());
+        let opening = timeout(self.terms.connect_timeout, open(host, hello, listed));
+        tokio::pin!(opening);
+        let (reader, writer, welcome) = loop {
+            tokio::select! {
+                opened = &mut opening => break opened.map_err(|_| "not connected in time".to_string())??,
+                Some(order) = self.orders.recv() => self.order(outgoing, order).await,
+                Ok(()) = self.listed.changed() => { self.heed(outgoing).await; }
+            }
+        };
+        // The engine hears of the process first: what is placed on it from now on counts it as cold.
+        let FromHost::Welcome { incarnation, .. } = welcome else { return Err("no welcome".into()) };
+        let known = self.listed.borrow().incarnation;
+        let _ = self.core.send(Arrival::Input(Input::FromHost { host: host.0, message: welcome })).await;
+        if incarnation != known {
+            // What waits was meant for another process, maybe another build.
+            self.lost(outgoing.broken(0).unsent, NoAnswer::NotConnected).await;
+        }
+        debug!(host = host.0, incarnation, "host connected");
+        Ok((reader, writer))
+    }
+
+    async fn work(
+        &mut self,
+        outgoing: &mut Outgoing,
+        mut reader: Reader,
+        mut writer: OwnedWriteHalf,
+    ) -> Ended {
+        let codec = FrameCodec::<FromHost, ToHost>::new(WORK_LIMIT);
+        let mut bytes = BytesMut::new();
+        let mut idle_at = Instant::now() + self.terms.idle;
+        let ended = loop {
+            let mut late = Vec::new();
+            while bytes.len() < WRITE_AHEAD {
+                let Some(message) = outgoing.next(self.clock.now(), &mut late) else { break };
+                let before = bytes.len();
+                if codec.write(&message, &mut bytes).is_err() {
+                    // Too long for the host's link: it never leaves.
+                    if let ToHost::Deliver { delivery, .. } = message {
+                        late.push(delivery);
+                    }
+                    continue;
+                }
+                outgoing.encoded(&message, bytes.len() - before);
+            }
+            if !late.is_empty() {
+                self.lost(late, NoAnswer::NotSent).await;
+            }
+            if !outgoing.idle() {
+                idle_at = Instant::now() + self.terms.idle;
+            }
+            let close_by =
+                self.listed.borrow().close_by.filter(|_| outgoing.is_closed() && outgoing.half_sent());
+            tokio::select! {
+                biased;
+                changed = self.listed.changed() => match changed {
+                    Ok(()) => if self.heed(outgoing).await { break Ended::Done },
+                    Err(_) => break Ended::Done,
+                },
+                // A frame that the host has not taken by the end of the grace must not arrive after it.
+                _ = sleep_until(close_by.unwrap_or_else(Instant::now)), if close_by.is_some() => {
+                    info!(host = self.host.0, "draining host does not read: connection closed");
+                    break Ended::Broken;
+                }
+                taken = writer.write_buf(&mut bytes), if !bytes.is_empty() => match taken {
+                    Ok(n) if n > 0 => outgoing.remaining(bytes.len()),
+                    _ => break Ended::Broken,
+                },
+                read = reader.next() => match read {
+                    Some(Ok(message)) => {
+                        match &message {
+                            FromHost::Acked { delivery, .. } | FromHost::Error { delivery }
+                                | FromHost::Full { delivery } => outgoing.answered(*delivery),
+                            FromHost::Welcome { .. } => break Ended::Broken,
+                            _ => {}
+                        }
+                        let input = Input::FromHost { host: self.host.0, message };
+                        if self.core.send(Arrival::Input(input)).await.is_err() {
+                            break Ended::Done;
+                        }
+                    }
+                    Some(Err(fault)) => {
+                        if let Some(kept_back) = self.clock.line() {
+                            info!(host = self.host.0, kept_back, %fault, "host connection broken");
+                        }
+                        break Ended::Broken;
+                    }
+                    None => break Ended::Broken,
+                },
+                order = self.orders.recv() => match order {
+                    Some(order) => self.order(outgoing, order).await,
+                    None => break Ended::Done,
+                },
+                _ = sleep_until(idle_at), if outgoing.idle() => break Ended::Idle,
+            }
+        };
+        let left = outgoing.broken(bytes.len());
+        self.lost(left.unsent, NoAnswer::NotSent).await;
+        self.lost(left.sent, NoAnswer::Reset).await;
+        ended
+    }
+}
+
+async fn open(
+    host: HostId,
+    hello: Hello,
+    listed: Listed,
+) -> Result<(Reader, OwnedWriteHalf, FromHost), String> {
+    let stream = TcpStream::connect(&listed.address).await.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let (read, mut write) = stream.into_split();
+    let mut bytes = BytesMut::new();
+    let codec = FrameCodec::<FromHost, ToHost>::new(WORK_LIMIT);
+    codec.write(&ToHost::Hello(hello), &mut bytes).map_err(|e| e.to_string())?;
+    write.write_all(&bytes).await.map_err(|e| e.to_string())?;
+    let mut reader = FramedRead::with_capacity(read, codec, 1024);
+    match reader.next().await {
+        Some(Ok(welcome @ FromHost::Welcome { .. })) => {
+            let FromHost::Welcome { host: named, .. } = &welcome else { unreachable!("matched above") };
+            if *named != host.0 {
+                return Err(format!("host {named} answers at the address of host {}", host.0));
+            }
+            Ok((reader, write, welcome))
+        }
+        Some(Ok(FromHost::Refused(refused))) => Err(format!("refused: {}", refused.text)),
+        Some(Ok(_)) => Err("no welcome".into()),
+        Some(Err(fault)) => Err(fault.to_string()),
+        None => Err("closed before its welcome".into()),
+    }
+}
--- a/crates/spokeflow-router/src/lib.rs
+++ b/crates/spokeflow-router/src/lib.rs
@@ -1,1 +1,17 @@
+//! The router as a program: sockets, time and connections around `spokeflow-engine`.
+//!
+//! One task owns the engine ([`serve`]); connection tasks only move frames over bounded channels. Nothing on the
+//! path of a command takes a lock, writes to disk or waits for a peer.
 
+mod clients;
+mod hosts;
+mod links;
+mod log;
+mod program;
+mod serve;
+mod terms;
+
+pub use log::start_log;
+pub use program::{main_with, RouterProgram};
+pub use serve::{serve, Listening};
+pub use terms::{op_flag, Faults, RouterTerms, ServiceFlags};
--- /dev/null
+++ b/crates/spokeflow-router/src/program.rs
@@ -0,0 +1,55 @@
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::{serve, start_log, Listening, RouterTerms};
+
+/// Sends commands to hosts, keeps every key at one build while a release is rolled out, and votes it on or back.
+#[derive(Debug, Parser)]
+#[command(name = "spokeflow-router", version)]
+pub struct RouterProgram {
+    #[command(flatten)]
+    pub terms: RouterTerms,
+}
+
+/// Runs the router until SIGTERM or SIGINT. Exit code 0: ended as asked; 1: could not go on; 2: bad terms.
+pub fn main_with(program: RouterProgram) -> ExitCode {
+    let terms = program.terms;
+    if let Err(faults) = terms.check() {
+        faults.0.iter().for_each(|fault| eprintln!("spokeflow-router: {fault}"));
+        return ExitCode::from(2);
+    }
+    if let Err(fault) = start_log(&terms.log, terms.log_form) {
+        eprintln!("spokeflow-router: {fault}");
+        return ExitCode::from(2);
+    }
+    // One thread: the engine is one task, and waking it across threads costs more than its peers' frames.
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("spokeflow-router: cannot start: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ended = runtime.block_on(async {
+        let listening = Listening::open(&terms).await?;
+        println!("listening on {}", listening.address());
+        serve(terms, listening, ended_by_signal()).await
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("spokeflow-router: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn ended_by_signal() {
+    use tokio::signal::unix::{signal, SignalKind};
+    let Ok(mut term) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-router/src/serve.rs
@@ -0,0 +1,406 @@
+//! The task that owns the engine, and what it hands messages to.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use spokeflow_core::{HostId, Micros};
+use spokeflow_engine::{Engine, Input, Links, Recording};
+use spokeflow_proto::{Hello, Role, ToClient, ToDesk, ToHost, ToList};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, Instant};
+use tokio_util::task::TaskTracker;
+use tracing::{debug, info, warn};
+
+use crate::clients::Client;
+use crate::hosts::{HostLink, LinkTerms, Listed};
+use crate::links::{read_list, DeskLink, ListLink, PeerLink};
+use crate::log::Sparing;
+use crate::RouterTerms;
+
+/// Arrivals that wait for the engine at most; a task whose arrival finds no room waits, and so does its peer.
+const ARRIVALS: usize = 4096;
+/// Taken in at one go, so that time is looked at often enough.
+const AT_ONCE: usize = 256;
+/// Messages that wait for the list, the desk or another router at most; more are dropped.
+const FEW: usize = 64;
+/// After the last answer, commands that were on their way are still nacked for this long.
+const LINGER: Duration = Duration::from_millis(250);
+
+/// What reaches the task that owns the engine.
+pub enum Arrival {
+    Input(Input),
+    ClientOpened(u64, mpsc::Sender<ToClient>),
+    ClientGone(u64),
+    RouterOpened(u64, u32),
+    Told(u64, Vec<u8>),
+    Close,
+}
+
+/// Microseconds since the start, and what all tasks share for their log lines.
+pub struct Clock {
+    start: Instant,
+    ending: AtomicBool,
+    sparing: Sparing,
+}
+
+impl Clock {
+    pub fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    pub fn ending(&self) -> bool {
+        self.ending.load(Ordering::Relaxed)
+    }
+
+    /// Whether a line that a peer causes may be logged now; with it, how many were kept back.
+    pub fn line(&self) -> Option<u64> {
+        self.sparing.line(self.start.elapsed().as_secs())
+    }
+
+    fn at(&self, time: Micros) -> Instant {
+        // A wake-up that is never due is looked at again in an hour.
+        self.start + Duration::from_micros(time.clamp(0, self.now() + 3_600_000_000) as u64)
+    }
+}
+
+/// A port that has been taken.
+pub struct Listening {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Listening {
+    /// Errors: the address cannot be taken, with the flag that names it.
+    pub async fn open(terms: &RouterTerms) -> Result<Self, String> {
+        let fault = |e: std::io::Error| format!("--listen {}: {e}", terms.listen);
+        let listener = TcpListener::bind(terms.listen).await.map_err(fault)?;
+        let address = listener.local_addr().map_err(fault)?;
+        Ok(Listening { listener, address })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+struct HostHandle {
+    orders: mpsc::Sender<(ToHost, Micros)>,
+    listed: watch::Sender<Listed>,
+}
+
+/// The engine's way out. Nothing here waits.
+struct Wires {
+    clock: Arc<Clock>,
+    core: mpsc::Sender<Arrival>,
+    clients: HashMap<u64, mpsc::Sender<ToClient>>,
+    /// Clients given up because they do not read; the engine hears of them after its call.
+    given_up: Vec<u64>,
+    hosts: HashMap<HostId, HostHandle>,
+    list: mpsc::Sender<ToList>,
+    desk: mpsc::Sender<ToDesk>,
+    peers: HashMap<u32, mpsc::Sender<Vec<u8>>>,
+    links: Arc<LinkTerms>,
+    host_queue: usize,
+    drain_grace: Duration,
+}
+
+impl Links for Wires {
+    fn to_client(&mut self, conn: u64, message: ToClient) {
+        debug!(conn, ?message, "answer");
+        let Some(client) = self.clients.get(&conn) else { return };
+        if let Err(mpsc::error::TrySendError::Full(_)) = client.try_send(message) {
+            self.clients.remove(&conn);
+            self.given_up.push(conn);
+        }
+    }
+
+    fn to_host(&mut self, host: HostId, message: ToHost, leave_by: Micros) -> bool {
+        self.hosts.get(&host).is_some_and(|h| h.orders.try_send((message, leave_by)).is_ok())
+    }
+
+    fn to_list(&mut self, message: ToList) -> bool {
+        self.list.try_send(message).is_ok()
+    }
+
+    fn to_desk(&mut self, message: ToDesk) -> bool {
+        info!(?message, "vote");
+        self.desk.try_send(message).is_ok()
+    }
+
+    fn to_routers(&mut self, router: Option<u32>, text: &[u8]) {
+        for (_, peer) in self.peers.iter().filter(|(index, _)| router.is_none_or(|r| r == **index)) {
+            // What is not told in time is told no more: it is evidence of a moment.
+            let _ = peer.try_send(text.to_vec());
+        }
+    }
+
+    fn host_open(&mut self, host: HostId, address: &str, incarnation: u64) {
+        let listed =
+            Listed { address: address.to_string(), incarnation, open: true, gone: false, close_by: None };
+        if let Some(handle) = self.hosts.get(&host).filter(|h| !h.orders.is_closed()) {
+            handle.listed.send_if_modified(|l| std::mem::replace(l, listed.clone()) != listed);
+            return;
+        }
+        let (orders, inbox) = mpsc::channel(self.host_queue);
+        let (tell, told) = watch::channel(listed);
+        let (terms, clock, core) = (self.links.clone(), self.clock.clone(), self.core.clone());
+        tokio::spawn(HostLink { host, terms, clock, core, orders: inbox, listed: told }.run());
+        self.hosts.insert(host, HostHandle { orders, listed: tell });
+    }
+
+    fn host_closed(&mut self, host: HostId, gone: bool) {
+        let Some(handle) = self.hosts.get(&host) else { return };
+        let close_by = Instant::now() + self.drain_grace * 3 / 4;
+        handle.listed.send_if_modified(|l| {
+            let close_by = l.close_by.or(Some(close_by));
+            let closed = Listed { open: false, gone, close_by, ..l.clone() };
+            std::mem::replace(l, closed.clone()) != closed
+        });
+    }
+}
+
+/// Runs a router until `ending` resolves; then takes nothing new, answers all it holds and returns.
+/// Errors: a term that fits no longer, such as a recording that cannot be written.
+pub async fn serve(
+    terms: RouterTerms,
+    listening: Listening,
+    ending: impl Future<Output = ()>,
+) -> Result<(), String> {
+    let clock =
+        Arc::new(Clock { start: Instant::now(), ending: AtomicBool::new(false), sparing: Sparing::new() });
+    let (core, mut arrivals) = mpsc::channel(ARRIVALS);
+    let hello = Hello::new(Role::Router, terms.index, terms.site);
+    let links = Arc::new(LinkTerms {
+        hello,
+        connect_timeout: terms.connect_timeout,
+        first_pause: terms.reconnect_first,
+        longest_pause: terms.reconnect_most,
+        idle: terms.connection_idle,
+    });
+    let mut helpers = JoinSet::new();
+    let (list, asked) = mpsc::channel(FEW);
+    let (desk, votes) = mpsc::channel(FEW);
+    let list_link = ListLink {
+        address: terms.list,
+        terms: links.clone(),
+        renew: terms.list_renew,
+        file: terms.list_file.clone(),
+        core: core.clone(),
+        asked,
+    };
+    helpers.spawn(list_link.run());
+    helpers.spawn(DeskLink { address: terms.desk, terms: links.clone(), core: core.clone(), votes }.run());
+    let mut peers = HashMap::new();
+    for &(index, address) in &terms.peers {
+        let (tell, texts) = mpsc::channel(FEW);
+        helpers.spawn(PeerLink { index, address, terms: links.clone(), texts }.run());
+        peers.insert(index, tell);
+    }
+    let mut wires = Wires {
+        clock: clock.clone(),
+        core: core.clone(),
+        clients: HashMap::new(),
+        given_up: Vec::new(),
+        hosts: HashMap::new(),
+        list,
+        desk,
+        peers,
+        links,
+        host_queue: terms.host_queue,
+        drain_grace: terms.service.drain_grace,
+    };
+    let seed = terms.seed.unwrap_or_else(|| rand::rng().random());
+    let mut record =
+        terms.record.as_deref().map(|file| Recorder::open(file, seed, clock.now())).transpose()?;
+    info!(index = terms.index, site = terms.site, address = %listening.address, seed, "router starts");
+    let mut engine = Engine::new(terms.engine(), seed, clock.now(), &mut wires);
+    let clients = TaskTracker::new();
+    let accepting = Accepting {
+        listener: listening.listener,
+        places: Arc::new(Semaphore::new(terms.clients_at_most)),
+        core,
+        queue: terms.client_queue,
+        fleet: terms.service.fleet_size,
+        clock: clock.clone(),
+        clients: clients.clone(),
+    };
+    let accepting = helpers.spawn(accepting.run());
+    let mut routers: HashMap<u64, u32> = HashMap::new();
+    let mut batch = Vec::with_capacity(AT_ONCE);
+    let mut give = |engine: &mut Engine, wires: &mut Wires, input: Input| {
+        let now = clock.now();
+        if let Some(record) = &mut record {
+            record.note(now, &input);
+        }
+        engine.take(now, input, wires);
+    };
+    if let Some(file) = &terms.list_file {
+        match read_list(file) {
+            Ok(lines) => give(&mut engine, &mut wires, Input::Remembered(lines)),
+            Err(what) => info!(file = %file.display(), what, "no kept list"),
+        }
+    }
+    tokio::pin!(ending);
+    let mut end_by = None;
+    let mut idle_since: Option<Instant> = None;
+    loop {
+        let wake = clock.at(engine.next_wake());
+        tokio::select! {
+            biased;
+            _ = &mut ending, if end_by.is_none() => {
+                info!(held = engine.held(), "router ends: takes nothing new");
+                clock.ending.store(true, Ordering::Relaxed);
+                end_by = Some(Instant::now() + terms.shutdown_within);
+                accepting.abort();
+                batch.push(Arrival::Close);
+            }
+            _ = sleep_until(wake) => {}
+            _ = arrivals.recv_many(&mut batch, AT_ONCE) => {}
+        }
+        // Whatever woke this task, what has arrived meanwhile is taken in as well: neither starves the other.
+        while batch.len() < AT_ONCE {
+            let Ok(arrival) = arrivals.try_recv() else { break };
+            batch.push(arrival);
+        }
+        for arrival in batch.drain(..) {
+            match arrival {
+                Arrival::Input(input) => give(&mut engine, &mut wires, input),
+                Arrival::ClientOpened(conn, answers) => {
+                    if end_by.is_some() {
+                        let _ = answers.try_send(ToClient::Closing);
+                    }
+                    wires.clients.insert(conn, answers);
+                }
+                Arrival::ClientGone(conn) => {
+                    wires.clients.remove(&conn);
+                    routers.remove(&conn);
+                    give(&mut engine, &mut wires, Input::ClientGone { conn });
+                }
+                Arrival::RouterOpened(conn, index) => {
+                    routers.insert(conn, index);
+                }
+                Arrival::Told(conn, text) => {
+                    if let Some(&router) = routers.get(&conn) {
+                        give(&mut engine, &mut wires, Input::Told { router, text });
+                    }
+                }
+                Arrival::Close => {
+                    give(&mut engine, &mut wires, Input::Close);
+                    wires.clients.values().for_each(|client| {
+                        let _ = client.try_send(ToClient::Closing);
+                    });
+                }
+            }
+            while let Some(conn) = wires.given_up.pop() {
+                give(&mut engine, &mut wires, Input::ClientGone { conn });
+            }
+        }
+        if clock.now() >= engine.next_wake() {
+            give(&mut engine, &mut wires, Input::Wake);
+            while let Some(conn) = wires.given_up.pop() {
+                give(&mut engine, &mut wires, Input::ClientGone { conn });
+            }
+        }
+        if let Some(end_by) = end_by {
+            let now = Instant::now();
+            idle_since = idle_since.filter(|_| engine.held() == 0).or((engine.held() == 0).then_some(now));
+            if now >= end_by || idle_since.is_some_and(|since| now >= since + LINGER) {
+                break;
+            }
+        }
+    }
+    let counts = engine.counts();
+    info!(held = engine.held(), ?counts, "router has answered what it held");
+    // Client tasks write out what is queued for them when their channels close.
+    wires.clients.clear();
+    drop((wires, arrivals));
+    clients.close();
+    let _ = tokio::time::timeout(Duration::from_secs(1), clients.wait()).await;
+    Ok(())
+}
+
+/// Takes connections, apart from the engine's task so that neither waits for the other.
+struct Accepting {
+    listener: TcpListener,
+    places: Arc<Semaphore>,
+    core: mpsc::Sender<Arrival>,
+    queue: usize,
+    fleet: u32,
+    clock: Arc<Clock>,
+    clients: TaskTracker,
+}
+
+impl Accepting {
+    async fn run(self) {
+        let mut next_conn = 0;
+        loop {
+            let (stream, peer) = match self.listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(e) => {
+                    // Out of descriptors, most likely: trying at once again would only spin.
+                    warn!(%e, "cannot accept");
+                    sleep(Duration::from_millis(50)).await;
+                    continue;
+                }
+            };
+            // Without a place the connection is closed unheard: no command has been taken from it.
+            let Ok(place) = self.places.clone().try_acquire_owned() else {
+                if let Some(kept_back) = self.clock.line() {
+                    warn!(%peer, kept_back, "as many clients as --clients-at-most: closed");
+                }
+                continue;
+            };
+            next_conn += 1;
+            let client = Client {
+                conn: next_conn,
+                peer,
+                core: self.core.clone(),
+                queue: self.queue,
+                fleet: self.fleet,
+                clock: self.clock.clone(),
+                _place: place,
+            };
+            self.clients.spawn(client.run(stream));
+        }
+    }
+}
+
+/// Writes inputs to a file by a thread of its own; where that falls behind, the recording ends there and says so.
+struct Recorder {
+    to: Option<std::sync::mpsc::SyncSender<Vec<u8>>>,
+}
+
+impl Recorder {
+    fn open(file: &std::path::Path, seed: u64, now: Micros) -> Result<Self, String> {
+        use std::io::Write;
+        let fault = |e: std::io::Error| format!("--record {}: {e}", file.display());
+        let mut out = std::io::BufWriter::new(std::fs::File::create(file).map_err(fault)?);
+        out.write_all(&Recording::head(seed, now)).map_err(fault)?;
+        let (to, entries) = std::sync::mpsc::sync_channel::<Vec<u8>>(1 << 16);
+        std::thread::spawn(move || {
+            for entry in entries {
+                if let Err(e) = out.write_all(&entry) {
+                    warn!(%e, "recording ends");
+                    return;
+                }
+            }
+            let _ = out.flush();
+        });
+        Ok(Recorder { to: Some(to) })
+    }
+
+    fn note(&mut self, now: Micros, input: &Input) {
+        let entry = || Recording::entry(now, input);
+        if self.to.as_ref().is_some_and(|to| to.try_send(entry()).is_err()) {
+            warn!("recording ends: its file is slower than what happens");
+            self.to = None;
+        }
+    }
+}
