--- a/crates/spokeflow-router/src/lib.rs
+++ b/crates/spokeflow-router/src/lib.rs
@@ -14,4 +14,5 @@
 pub use log::start_log;
 pub use program::{main_with, RouterProgram};
 pub use serve::{serve, Listening};
-pub use terms::{op_flag, Faults, RouterTerms, ServiceFlags};
+pub use spokeflow_core::{Repeat, RepeatScope};
+pub use terms::{op_flag, Faults, NamedOp, RouterTerms, ServiceFlags};
--- /dev/null
+++ b/crates/spokeflow-standin/src/host.rs
@@ -0,0 +1,304 @@
+//! One host: cores, a queue, cold start, falling over, and what its build does wrong. No I/O; time is handed in.
+
+use std::collections::{HashMap, VecDeque};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp};
+
+use crate::scenario::{Flaw, Op, Repeat, Scenario};
+use crate::{Micros, SECOND};
+
+/// A delivery as the host holds it. `from` is any number that leads back to who sent it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub from: u64,
+    pub delivery: u64,
+    pub tried: u64,
+    pub command: u64,
+    pub op: usize,
+    pub mark: u64,
+    pub expires: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Done {
+    Acked {
+        wrong: bool,
+    },
+    Error,
+    /// Nothing is said: the host hangs.
+    Silent,
+}
+
+/// The marks that all hosts together remember.
+#[derive(Default)]
+pub struct Marks {
+    seen: HashMap<u64, Micros>,
+}
+
+impl Marks {
+    /// Whether this is the first of its mark within its memory.
+    fn first(&mut self, mark: u64, memory: Micros, now: Micros) -> bool {
+        if self.seen.len() > 100_000 {
+            self.seen.retain(|_, at| now - *at < memory);
+        }
+        let before = self.seen.insert(mark, now);
+        before.is_none_or(|at| now - at >= memory)
+    }
+}
+
+/// What troubles do to a host.
+#[derive(Clone, Copy, Debug)]
+pub struct Ailment {
+    pub hangs: bool,
+    pub slower: f64,
+    pub fails: f64,
+    /// An op type that needs more work, and how much.
+    pub slow_op: (usize, f64),
+    /// What a build that slows all hosts does.
+    pub drag: f64,
+}
+
+impl Default for Ailment {
+    fn default() -> Self {
+        Ailment { hangs: false, slower: 1.0, fails: 0.0, slow_op: (usize::MAX, 1.0), drag: 1.0 }
+    }
+}
+
+/// What beginning a job has led to, for the tap.
+#[derive(Debug, PartialEq)]
+pub struct Begun {
+    pub tried: u64,
+    pub command: u64,
+    pub op: usize,
+    /// False where a repeat was dropped.
+    pub effect: bool,
+}
+
+pub struct Host {
+    pub flaw: Flaw,
+    pub speed: f64,
+    pub ailment: Ailment,
+    pub fallen: bool,
+    cores: usize,
+    queue_most: usize,
+    started: Option<Micros>,
+    cold_from: f64,
+    warm_within: Micros,
+    fall_multiple: f64,
+    fall_span: Micros,
+    ops: Vec<Op>,
+    waiting: VecDeque<Job>,
+    /// Ends at, how, and for whom.
+    running: Vec<(Micros, Done, Job)>,
+    /// Work that has reached it lately, for the budget of a cold start.
+    reached: VecDeque<(Micros, f64)>,
+    chance: StdRng,
+}
+
+impl Host {
+    /// `started` is `None` for a host that has been up long.
+    pub fn new(day: &Scenario, flaw: Flaw, speed: f64, started: Option<Micros>, seed: u64) -> Host {
+        Host {
+            flaw,
+            speed,
+            ailment: Ailment::default(),
+            fallen: false,
+            cores: day.cores as usize,
+            queue_most: 24 * day.cores as usize,
+            started,
+            cold_from: day.cold_from,
+            warm_within: day.warm_within,
+            fall_multiple: day.fall_multiple,
+            fall_span: day.fall_span,
+            ops: day.ops.clone(),
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            reached: VecDeque::new(),
+            chance: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// The part of its capacity that it has by now.
+    pub fn warmth(&self, now: Micros) -> f64 {
+        let age = self.started.map_or(self.warm_within, |at| (now - at).clamp(0, self.warm_within));
+        self.cold_from + (1.0 - self.cold_from) * age as f64 / self.warm_within as f64
+    }
+
+    pub fn held(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
+    /// A delivery has arrived. `false`: not looked at, the queue is full.
+    pub fn arrive(&mut self, now: Micros, job: Job) -> bool {
+        self.bear(now, job.op);
+        if self.waiting.len() >= self.queue_most {
+            return false;
+        }
+        self.waiting.push_back(job);
+        true
+    }
+
+    /// All work that reaches a cold host counts, also what it refuses.
+    fn bear(&mut self, now: Micros, op: usize) {
+        let cold = self.started.is_some_and(|at| now - at < self.warm_within);
+        if !cold {
+            return self.reached.clear();
+        }
+        while self.reached.front().is_some_and(|r| r.0 <= now - self.fall_span) {
+            self.reached.pop_front();
+        }
+        self.reached.push_back((now, self.ops[op].work as f64 / SECOND as f64));
+        let sent: f64 = self.reached.iter().map(|r| r.1).sum();
+        let can = self.warmth(now) * self.cores as f64 * self.speed;
+        self.fallen |= sent > self.fall_multiple * can * self.fall_span as f64 / SECOND as f64;
+    }
+
+    /// Begins what a core is free for. Answers what was begun.
+    pub fn begin(&mut self, now: Micros, marks: &mut Marks) -> Vec<Begun> {
+        let mut begun = Vec::new();
+        while self.running.len() < self.cores {
+            let Some(job) = self.waiting.pop_front() else { break };
+            if now >= job.expires {
+                // Nobody waits for it any more.
+                continue;
+            }
+            let crowded = self.waiting.len() >= 2;
+            let (slower, fails, wrong) = self.flaw_of(&job, now, crowded);
+            let repeat = self.ops[job.op].repeat;
+            let effect = match repeat {
+                Repeat::Deduplicated(memory) if job.mark != 0 => marks.first(job.mark, memory, now),
+                _ => true,
+            };
+            let failed = self.chance.random_bool(fails.clamp(0.0, 1.0));
+            let work = if effect {
+                let mean = self.ops[job.op].work as f64;
+                // Bounded, so that a single draw does not hold a core for the rest of a short day.
+                let drawn =
+                    0.4 * mean + 0.6 * Exp::new(1.0 / mean).map_or(mean, |d| d.sample(&mut self.chance));
+                drawn.min(6.0 * mean)
+            } else {
+                1000.0
+            };
+            let took = work * slower / (self.speed * self.warmth(now));
+            let done = match (failed, wrong) {
+                (true, _) => Done::Error,
+                (false, wrong) => Done::Acked { wrong },
+            };
+            // What fails fast fails at once, and may have had its effect all the same.
+            let took = if failed && self.ailment.fails > 0.0 { took.min(5_000.0) } else { took };
+            begun.push(Begun { tried: job.tried, command: job.command, op: job.op, effect });
+            self.running.push((now + took.max(1.0) as Micros, done, job));
+        }
+        begun
+    }
+
+    fn flaw_of(&mut self, job: &Job, now: Micros, crowded: bool) -> (f64, f64, bool) {
+        let ail = self.ailment;
+        let mut slower = ail.slower * ail.drag;
+        if job.op == ail.slow_op.0 {
+            slower *= ail.slow_op.1;
+        }
+        let mut fails = ail.fails;
+        let mut wrong = false;
+        match self.flaw {
+            Flaw::None | Flaw::Shared(_) => {}
+            Flaw::Errors(part) => fails = fails.max(part),
+            Flaw::OneOp(part) if job.op == self.ops.len() - 1 => fails = fails.max(part),
+            Flaw::OneOp(_) => {}
+            Flaw::Slow(times) => slower *= times,
+            Flaw::UnderLoad(part) if crowded => (slower, fails) = (slower * 2.0, fails.max(part)),
+            Flaw::UnderLoad(_) => {}
+            Flaw::Late(part) if self.started.is_some_and(|at| now - at > 5 * SECOND) => {
+                (slower, fails) = (slower * 1.8, fails.max(part));
+            }
+            Flaw::Late(_) => {}
+            Flaw::Wrong(part) => wrong = self.chance.random_bool(part),
+        }
+        (slower, fails, wrong)
+    }
+
+    pub fn next(&self) -> Option<Micros> {
+        self.running.iter().map(|r| r.0).min()
+    }
+
+    /// What has ended by now, in the order of its ends.
+    pub fn ended(&mut self, now: Micros) -> Vec<(Job, Done)> {
+        let mut ended: Vec<_> = self.running.extract_if(.., |r| r.0 <= now).collect();
+        ended.sort_by_key(|r| (r.0, r.2.delivery));
+        let hangs = self.ailment.hangs;
+        ended.into_iter().map(|(_, done, job)| (job, if hangs { Done::Silent } else { done })).collect()
+    }
+
+    /// Work stops when its command is cancelled.
+    pub fn cancel(&mut self, from: u64, delivery: u64) {
+        let same = |j: &Job| j.from == from && j.delivery == delivery;
+        self.waiting.retain(|j| !same(j));
+        self.running.retain(|r| !same(&r.2));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn job(n: u64, op: usize) -> Job {
+        Job { from: 1, delivery: n, tried: n, command: n, op, mark: n, expires: 100 * SECOND }
+    }
+
+    fn host(started: Option<Micros>) -> (Scenario, Host) {
+        let day = Scenario::plain(1, 60 * SECOND);
+        let host = Host::new(&day, Flaw::None, 1.0, started, 5);
+        (day, host)
+    }
+
+    #[test]
+    fn a_cold_host_does_less_and_falls_when_sent_more_than_its_budget() {
+        let (_, mut cold) = host(Some(0));
+        assert!((cold.warmth(0) - 0.31).abs() < 1e-9 && (cold.warmth(3_700_000) - 1.0).abs() < 1e-9);
+        // Three times 0.31 cores for three seconds bear 2.79 s of work: 21 of 130 ms.
+        let fell_at = (1..60).find(|n| {
+            cold.arrive(1000, job(*n, 0));
+            cold.fallen
+        });
+        assert_eq!(fell_at, Some(22));
+        let (_, mut warm) = host(None);
+        (0..60).for_each(|n| {
+            warm.arrive(1000, job(n, 0));
+        });
+        assert!(!warm.fallen);
+    }
+
+    #[test]
+    fn a_full_queue_refuses_and_a_repeat_has_no_second_effect() {
+        let (_, mut host) = host(None);
+        let taken = (1..60).filter(|n| host.arrive(0, job(*n, 1))).count();
+        assert_eq!(taken, 24);
+        let mut marks = Marks::default();
+        let first = host.begin(0, &mut marks);
+        assert!(first[0].effect);
+        host.cancel(1, first[0].tried);
+        host.waiting.clear();
+        host.arrive(1, job(first[0].tried, 1));
+        assert!(!host.begin(1, &mut marks)[0].effect);
+    }
+
+    #[test]
+    fn what_has_expired_never_runs() {
+        let (_, mut host) = host(None);
+        host.arrive(0, Job { expires: 10, ..job(1, 0) });
+        assert!(host.begin(10, &mut Marks::default()).is_empty());
+        assert_eq!(host.next(), None);
+    }
+
+    #[test]
+    fn a_host_that_hangs_says_nothing() {
+        let (_, mut host) = host(None);
+        host.arrive(0, job(1, 0));
+        host.begin(0, &mut Marks::default());
+        host.ailment.hangs = true;
+        let at = host.next().unwrap();
+        assert_eq!(host.ended(at)[0].1, Done::Silent);
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-standin/src/office.rs
@@ -0,0 +1,290 @@
+//! The host list and the release desk on loopback sockets, late, stalled, refusing or broken off as the day says.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use rand::RngExt;
+use spokeflow_proto::{
+    BallotResult, BallotVerdict, FrameCodec, FromDesk, FromList, Line, LinePhase, News, NewsStanding, Role,
+    ToDesk, ToList, LIST_LIMIT, WORK_LIMIT,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::interval;
+use tokio_util::codec::Framed;
+
+use crate::desk::{Counted, Desk, State, Verdict};
+use crate::hosts::{Way, World};
+use crate::tap::{Phase, Process, Seen, Standing};
+use crate::Micros;
+
+/// The site that list and desk stand in.
+pub const OFFICE_SITE: u16 = 0;
+const TICK: Duration = Duration::from_millis(10);
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub host: u32,
+    pub address: SocketAddr,
+    pub site: u16,
+    pub build: u16,
+    pub phase: Phase,
+    pub incarnation: u64,
+    pub started: Option<Micros>,
+}
+
+/// What the list knows, and what it will learn.
+#[derive(Default)]
+pub struct Board {
+    entries: BTreeMap<u32, Entry>,
+    version: u64,
+    log: Vec<(u64, u32)>,
+    coming: Vec<(Micros, Entry)>,
+}
+
+impl Board {
+    pub fn know_at(&mut self, at: Micros, entry: Entry) {
+        // What is learned of one host is learned in order.
+        let before = self.coming.iter().filter(|c| c.1.host == entry.host).map(|c| c.0).max();
+        self.coming.push((at.max(before.unwrap_or(at) + 1), entry));
+    }
+
+    pub fn tick(&mut self, now: Micros) {
+        let mut due: Vec<_> = self.coming.extract_if(.., |c| c.0 <= now).collect();
+        due.sort_by_key(|c| c.0);
+        for (_, entry) in due {
+            self.version += 1;
+            self.log.push((self.version, entry.host));
+            self.entries.insert(entry.host, entry);
+        }
+    }
+
+    fn since(&self, have: Option<u64>) -> (bool, Vec<&Entry>) {
+        match have.filter(|v| *v <= self.version) {
+            None => (true, self.entries.values().filter(|e| e.phase != Phase::Gone).collect()),
+            Some(v) => {
+                let from = self.log.partition_point(|l| l.0 <= v);
+                let mut hosts: Vec<u32> = self.log[from..].iter().map(|l| l.1).collect();
+                hosts.sort_unstable();
+                hosts.dedup();
+                (false, hosts.iter().filter_map(|h| self.entries.get(h)).collect())
+            }
+        }
+    }
+}
+
+pub struct Office {
+    pub world: Arc<World>,
+    pub board: Mutex<Board>,
+    pub desk: Mutex<Desk>,
+}
+
+impl Office {
+    /// Serves list and desk until dropped. Errors: no port can be had.
+    pub async fn open(self: &Arc<Self>) -> std::io::Result<(SocketAddr, SocketAddr)> {
+        let list = TcpListener::bind("127.0.0.1:0").await?;
+        let desk = TcpListener::bind("127.0.0.1:0").await?;
+        let addresses = (list.local_addr()?, desk.local_addr()?);
+        let office = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = list.accept().await {
+                tokio::spawn(office.clone().list(stream));
+            }
+        });
+        let office = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = desk.accept().await {
+                tokio::spawn(office.clone().desk(stream));
+            }
+        });
+        Ok(addresses)
+    }
+
+    async fn list(self: Arc<Self>, stream: TcpStream) {
+        let mut link: Framed<TcpStream, FrameCodec<ToList, FromList>> =
+            Framed::new(stream, FrameCodec::new(LIST_LIMIT));
+        let Some(Ok(ToList::Hello(hello))) = link.next().await else { return };
+        if hello.check(&[Role::Router]).is_err() || self.world.faults().list_breaks {
+            return;
+        }
+        let (to, site) = (self.world.process(hello.index), hello.zone);
+        if link.send(FromList::Welcome).await.is_err() {
+            return;
+        }
+        let (send, mut ready) = self.world.delayed::<FromList>(OFFICE_SITE, site, Way::Office);
+        let mut watched: Option<u64> = None;
+        let mut ticks = interval(TICK);
+        loop {
+            tokio::select! {
+                read = link.next() => match read {
+                    Some(Ok(ToList::Watch { have })) => {
+                        let board = self.board.lock().expect("no holder panics");
+                        let _ = send.send(self.message(&board, have));
+                        watched = Some(board.version);
+                    }
+                    Some(Ok(ToList::Fetch)) => {
+                        let board = self.board.lock().expect("no holder panics");
+                        let _ = send.send(self.message(&board, None));
+                    }
+                    _ => return,
+                },
+                Some(message) = ready.recv() => {
+                    self.note(to, &message);
+                    if link.send(message).await.is_err() {
+                        return;
+                    }
+                }
+                _ = ticks.tick() => {
+                    if self.world.faults().list_breaks {
+                        return;
+                    }
+                    let board = self.board.lock().expect("no holder panics");
+                    if watched.is_some_and(|v| v < board.version) {
+                        let _ = send.send(self.message(&board, watched));
+                        watched = Some(board.version);
+                    }
+                }
+            }
+        }
+    }
+
+    fn message(&self, board: &Board, have: Option<u64>) -> FromList {
+        let now = self.world.tap.now();
+        let (whole, entries) = board.since(have);
+        let line = |e: &&Entry| Line {
+            host: e.host,
+            address: e.address.to_string(),
+            build: Some(e.build),
+            cell: 0,
+            zone: e.site,
+            phase: match e.phase {
+                Phase::Gone => LinePhase::Gone,
+                Phase::Ready => LinePhase::Ready,
+                Phase::Draining => LinePhase::Draining,
+            },
+            incarnation: e.incarnation,
+            up_us: e.started.map(|at| (now - at).max(0) as u64),
+        };
+        let (version, lines) = (board.version, entries.iter().map(line).collect());
+        if whole {
+            FromList::Whole { version, lines }
+        } else {
+            FromList::Changes { version, lines }
+        }
+    }
+
+    fn note(&self, to: Process, message: &FromList) {
+        let (whole, lines) = match message {
+            FromList::Whole { lines, .. } => (true, lines),
+            FromList::Changes { lines, .. } if !lines.is_empty() => (false, lines),
+            _ => return,
+        };
+        let phase = |l: &Line| match l.phase {
+            LinePhase::Gone => Phase::Gone,
+            LinePhase::Ready => Phase::Ready,
+            LinePhase::Draining => Phase::Draining,
+        };
+        let lines = lines.iter().map(|l| (l.host, l.build.unwrap_or(0), phase(l))).collect();
+        self.world.tap.note(Seen::Listed { to, whole, lines });
+    }
+
+    async fn desk(self: Arc<Self>, stream: TcpStream) {
+        let mut link: Framed<TcpStream, FrameCodec<ToDesk, FromDesk>> =
+            Framed::new(stream, FrameCodec::new(WORK_LIMIT));
+        let Some(Ok(ToDesk::Hello(hello))) = link.next().await else { return };
+        if hello.check(&[Role::Router]).is_err() || link.send(FromDesk::Welcome).await.is_err() {
+            return;
+        }
+        let (to, site) = (self.world.process(hello.index), hello.zone);
+        let (send, mut ready) =
+            self.world.delayed::<(FromDesk, Option<State>)>(OFFICE_SITE, site, Way::Office);
+        let (hear, mut heard) = self.world.delayed::<ToDesk>(site, OFFICE_SITE, Way::Office);
+        let mut told: Option<State> = None;
+        let mut told_at = Micros::MIN / 2;
+        let mut coming: VecDeque<(Micros, State)> = VecDeque::new();
+        let mut ticks = interval(TICK);
+        loop {
+            tokio::select! {
+                read = link.next() => match read {
+                    Some(Ok(message)) => drop(hear.send(message)),
+                    _ => return,
+                },
+                Some(message) = heard.recv() => {
+                    if let ToDesk::Vote { ballot, build, stage, verdict } = message {
+                        let verdict = match verdict {
+                            BallotVerdict::None => Verdict::None,
+                            BallotVerdict::On => Verdict::On,
+                            BallotVerdict::Hold => Verdict::Hold,
+                            BallotVerdict::Back => Verdict::Back,
+                        };
+                        let seen =
+                            Seen::Voted { from: to, build, stage, verdict: format!("{verdict:?}") };
+                        self.world.tap.note(seen);
+                        if let Some(result) = self.vote(to.router, build, stage, verdict) {
+                            let _ = send.send((FromDesk::Voted { ballot, result }, None));
+                        }
+                    }
+                }
+                Some((message, state)) = ready.recv() => {
+                    let message = match state {
+                        Some(state) => FromDesk::News(self.news(to, state)),
+                        None => message,
+                    };
+                    if link.send(message).await.is_err() {
+                        return;
+                    }
+                }
+                _ = ticks.tick() => {
+                    let (now, faults) = (self.world.tap.now(), self.world.faults());
+                    if faults.stalled_desk {
+                        continue;
+                    }
+                    let state = self.desk.lock().expect("no holder panics").state;
+                    if told != Some(state) || now - told_at >= self.world.day.news_every {
+                        // A router that has just connected is told at once, changes some time after.
+                        let [least, most] = self.world.day.news_late;
+                        let late = if told.is_none() { 0 } else { rand::rng().random_range(least..most) };
+                        coming.push_back((now + late + faults.late_desk, state));
+                        (told, told_at) = (Some(state), now);
+                    }
+                    while coming.front().is_some_and(|c| c.0 <= now) {
+                        if let Some((_, state)) = coming.pop_front() {
+                            let _ = send.send((FromDesk::Welcome, Some(state)));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// `None`: no answer.
+    fn vote(&self, router: u32, build: u16, stage: u8, verdict: Verdict) -> Option<BallotResult> {
+        let (now, faults) = (self.world.tap.now(), self.world.faults());
+        if faults.refusing_desk {
+            return Some(BallotResult::Refused);
+        }
+        let counts = !faults.stalled_desk || rand::rng().random_bool(0.5);
+        let counted = counts
+            .then(|| self.desk.lock().expect("no holder panics").vote(now, router, build, stage, verdict));
+        match counted.filter(|_| !faults.stalled_desk)? {
+            Counted::Counted => Some(BallotResult::Counted),
+            Counted::Moot => Some(BallotResult::Moot),
+            Counted::TooMany => Some(BallotResult::TooMany),
+        }
+    }
+
+    fn news(&self, to: Process, state: State) -> News {
+        let State { build, stage, standing, cap, since } = state;
+        self.world.tap.note(Seen::News { to, build, stage, standing, cap });
+        let standing = match standing {
+            Standing::OnTrial => NewsStanding::OnTrial,
+            Standing::GoingBack => NewsStanding::GoingBack,
+            Standing::Released => NewsStanding::Released,
+            Standing::Withdrawn => NewsStanding::Withdrawn,
+        };
+        let age_us = (self.world.tap.now() - since).max(0) as u64;
+        News { build, stage, standing, cap: cap as f32, age_us }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-standin/src/scenario.rs
@@ -0,0 +1,397 @@
+//! What a day is made of: sizes, traffic, builds and troubles. Plain data, drawn from one seed; nothing in it
+//! says whether it is played on sockets or in simulated time.
+
+use std::fmt;
+use std::str::FromStr;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+
+use crate::{Micros, MS, SECOND};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Repeat {
+    Redeliverable,
+    /// All hosts drop a repeat within this time.
+    Deduplicated(Micros),
+    AtMostOnce,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Op {
+    pub name: &'static str,
+    pub share: f64,
+    /// Mean work on a host that is warm and well.
+    pub work: Micros,
+    pub target: Micros,
+    pub timeout: Micros,
+    pub importance: f64,
+    pub repeat: Repeat,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Customer {
+    pub name: &'static str,
+    /// Commands a second that it is allowed, all routers together.
+    pub allowed: f64,
+    /// What it sends, as a part of that.
+    pub usage: f64,
+}
+
+/// What is wrong with a build.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub enum Flaw {
+    None,
+    /// Fails this part of all commands.
+    Errors(f64),
+    /// Fails this part of one op type.
+    OneOp(f64),
+    /// Needs so many times the work.
+    Slow(f64),
+    /// Slow and failing only where commands wait.
+    UnderLoad(f64),
+    /// Turns slow and fails some seconds after its host has started.
+    Late(f64),
+    /// Slows all hosts in step with its traffic.
+    Shared(f64),
+    /// Gives wrong answers to this part.
+    Wrong(f64),
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Build {
+    pub number: u16,
+    pub offered: Micros,
+    pub flaw: Flaw,
+    pub speed: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Gate {
+    Single,
+    Majority,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    Kill,
+    Hang,
+    Slow,
+    FastErrors,
+    Cut,
+    CutList,
+    CutHosts,
+    SlowLink,
+    SlowConnects,
+    StalledDesk,
+    LateDesk,
+    RefusingDesk,
+    LateList,
+    ListBreaks,
+    Shift,
+    Worthless,
+    GiveUp,
+    RepeatStorm,
+    SlowOp,
+    RouterKill,
+    RouterRoll,
+    /// A build with a flaw, drawn by the seed.
+    BadBuild,
+    /// All in order, with a good build.
+    None,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 23] = [
+        Kind::Kill,
+        Kind::Hang,
+        Kind::Slow,
+        Kind::FastErrors,
+        Kind::Cut,
+        Kind::CutList,
+        Kind::CutHosts,
+        Kind::SlowLink,
+        Kind::SlowConnects,
+        Kind::StalledDesk,
+        Kind::LateDesk,
+        Kind::RefusingDesk,
+        Kind::LateList,
+        Kind::ListBreaks,
+        Kind::Shift,
+        Kind::Worthless,
+        Kind::GiveUp,
+        Kind::RepeatStorm,
+        Kind::SlowOp,
+        Kind::RouterKill,
+        Kind::RouterRoll,
+        Kind::BadBuild,
+        Kind::None,
+    ];
+
+    pub fn name(self) -> String {
+        let name = serde_json::to_value(self).ok();
+        name.and_then(|v| v.as_str().map(str::to_string)).unwrap_or_default()
+    }
+}
+
+impl FromStr for Kind {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Self, String> {
+        let names = || Kind::ALL.map(Kind::name).join(", ");
+        Kind::ALL.into_iter().find(|k| k.name() == text).ok_or_else(|| format!("not one of {}", names()))
+    }
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Trouble {
+    pub kind: Kind,
+    pub at: Micros,
+    pub lasts: Micros,
+    /// Part of the hosts or routers that it strikes.
+    pub part: f64,
+    /// How hard: a factor, a share or seconds, by kind.
+    pub size: f64,
+}
+
+impl fmt::Display for Trouble {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let [at, lasts] = [self.at, self.lasts].map(|t| t as f64 / SECOND as f64);
+        let (kind, part, size) = (self.kind.name(), self.part, self.size);
+        write!(f, "{kind}:at={at:.1}s:lasts={lasts:.1}s:part={part:.2}:size={size:.2}")
+    }
+}
+
+impl FromStr for Trouble {
+    type Err = String;
+
+    /// `KIND:at=TIME[:lasts=TIME][:part=NUMBER][:size=NUMBER]`, what is left out as in the built-in scenario.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let mut words = text.trim().split(':');
+        let kind: Kind = words.next().unwrap_or_default().parse()?;
+        let mut trouble = Trouble { kind, at: 0, ..usual(kind) };
+        let mut timed = false;
+        for word in words {
+            let (name, value) = word.split_once('=').ok_or(format!("'{word}' is not NAME=VALUE"))?;
+            let number = |v: &str| v.parse::<f64>().map_err(|_| format!("'{word}': not a number"));
+            let time = || {
+                let seconds = value.strip_suffix('s').ok_or(format!("'{word}': a time ends in s"))?;
+                Ok::<_, String>((number(seconds)? * SECOND as f64) as Micros)
+            };
+            match name {
+                "at" => (trouble.at, timed) = (time()?, true),
+                "lasts" => trouble.lasts = time()?,
+                "part" => trouble.part = number(value)?,
+                "size" => trouble.size = number(value)?,
+                _ => return Err(format!("'{name}' is not at, lasts, part or size")),
+            }
+        }
+        timed.then_some(trouble).ok_or(format!("'{text}': at= is missing"))
+    }
+}
+
+/// A kind of trouble as it commonly comes; lengths from the operators' record of incidents.
+fn usual(kind: Kind) -> Trouble {
+    let (lasts, part, size) = match kind {
+        Kind::Kill => (8.0, 0.2, 0.0),
+        Kind::Hang => (8.0, 0.15, 0.0),
+        Kind::Slow => (10.0, 0.2, 4.0),
+        Kind::FastErrors => (8.0, 0.15, 0.7),
+        Kind::Cut | Kind::CutList | Kind::CutHosts => (7.0, 0.0, 0.0),
+        Kind::SlowLink => (8.0, 0.0, 0.3),
+        Kind::SlowConnects => (8.0, 1.0, 0.2),
+        Kind::StalledDesk | Kind::RefusingDesk => (8.0, 0.0, 0.0),
+        Kind::LateDesk | Kind::LateList => (12.0, 0.0, 4.0),
+        Kind::ListBreaks => (8.0, 0.0, 0.0),
+        Kind::Shift => (10.0, 0.0, 0.8),
+        Kind::Worthless => (10.0, 0.0, 2.0),
+        Kind::GiveUp => (10.0, 0.0, 0.25),
+        Kind::RepeatStorm => (8.0, 0.0, 4.0),
+        Kind::SlowOp => (10.0, 0.0, 4.0),
+        Kind::RouterKill => (3.0, 0.34, 0.0),
+        Kind::RouterRoll => (12.0, 1.0, 0.8),
+        Kind::BadBuild | Kind::None => (0.0, 0.0, 0.0),
+    };
+    Trouble { kind, at: 0, lasts: (lasts * SECOND as f64) as Micros, part, size }
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Scenario {
+    pub name: String,
+    pub seed: u64,
+    pub length: Micros,
+    pub sites: u16,
+    pub hosts: u32,
+    pub routers: u32,
+    pub cores: u32,
+    /// Commands a second.
+    pub rate: f64,
+    pub ops: Vec<Op>,
+    pub customers: Vec<Customer>,
+    pub keys: u64,
+    pub builds: Vec<Build>,
+    pub stage_shares: Vec<f64>,
+    pub slack: f64,
+    pub gate: Gate,
+    pub bake: Micros,
+    pub exposure_free: f64,
+    pub exposure_span: Micros,
+    pub forward_only: bool,
+    pub drain_grace: Micros,
+    /// How long a drained host goes on with what it has.
+    pub drain: Micros,
+    pub boot: [Micros; 2],
+    pub cold_from: f64,
+    pub warm_within: Micros,
+    pub fall_multiple: f64,
+    pub fall_span: Micros,
+    pub retries: u32,
+    /// A try is given up after this part of the command timeout, at random in between.
+    pub try_part: [f64; 2],
+    pub list_late: [Micros; 2],
+    pub news_late: [Micros; 2],
+    pub news_every: Micros,
+    /// Part of the wrong answers that clients report.
+    pub reported: f64,
+    pub troubles: Vec<Trouble>,
+}
+
+impl Scenario {
+    /// A day like those at the first operators' relays, without troubles.
+    pub fn plain(seed: u64, length: Micros) -> Scenario {
+        let op = |name, share, work, target, timeout, importance, repeat| Op {
+            name,
+            share,
+            work: work * MS,
+            target: target * MS,
+            timeout: timeout * MS,
+            importance,
+            repeat,
+        };
+        let once = Repeat::AtMostOnce;
+        let ops = vec![
+            op("set-threshold", 0.45, 130, 1200, 4000, 2.0, Repeat::Redeliverable),
+            op("note-arrival", 0.15, 130, 1200, 4000, 2.0, Repeat::Deduplicated(5 * SECOND)),
+            op("close-trip", 0.40, 190, 2000, 6000, 3.0, once),
+        ];
+        let customer = |name, allowed, usage| Customer { name, allowed, usage };
+        Scenario {
+            name: "plain".into(),
+            seed,
+            length,
+            sites: 3,
+            hosts: 15,
+            routers: 3,
+            cores: 1,
+            rate: 46.0,
+            ops,
+            customers: vec![
+                customer("doto-dairy", 25.0, 0.7),
+                customer("rumoi-fish", 17.0, 0.8),
+                customer("tokachi-veg", 14.0, 0.7),
+                customer("otaru-cold", 8.0, 0.6),
+            ],
+            keys: 600,
+            builds: vec![Build { number: 1, offered: 0, flaw: Flaw::None, speed: 1.0 }],
+            stage_shares: vec![0.04, 0.1, 0.25, 0.55, 1.0],
+            slack: 1.4,
+            gate: Gate::Single,
+            bake: 2 * SECOND,
+            exposure_free: 1.0,
+            exposure_span: 4 * SECOND,
+            forward_only: true,
+            drain_grace: SECOND,
+            drain: 2 * SECOND,
+            boot: [SECOND, 2200 * MS],
+            cold_from: 0.31,
+            warm_within: 3700 * MS,
+            fall_multiple: 3.0,
+            fall_span: 3 * SECOND,
+            retries: 2,
+            try_part: [0.4, 1.0],
+            list_late: [400 * MS, 1400 * MS],
+            news_late: [260 * MS, 880 * MS],
+            news_every: 4 * SECOND,
+            reported: 0.15,
+            troubles: Vec::new(),
+        }
+    }
+
+    /// Several troubles, some at once, and two builds of which one may be bad.
+    pub fn bad_day(seed: u64, length: Micros) -> Scenario {
+        let mut day = Scenario { name: "bad-day".into(), ..Scenario::plain(seed, length) };
+        let mut rng = StdRng::seed_from_u64(seed);
+        let bad = rng.random_bool(0.5);
+        let flaw = if bad { draw_flaw(&mut rng) } else { Flaw::None };
+        day.builds.push(Build { number: 2, offered: length / 12, flaw, speed: rng.random_range(0.9..1.1) });
+        let next = if bad { Flaw::None } else { draw_flaw(&mut rng) };
+        day.builds.push(Build { number: 3, offered: length / 2, flaw: next, speed: 1.0 });
+        // One of each family, in any order, at times that let them overlap.
+        let families: [&[Kind]; 5] = [
+            &[Kind::Kill, Kind::Hang, Kind::Slow, Kind::FastErrors],
+            &[Kind::Cut, Kind::CutList, Kind::CutHosts, Kind::SlowLink, Kind::SlowConnects],
+            &[Kind::StalledDesk, Kind::LateDesk, Kind::RefusingDesk, Kind::LateList, Kind::ListBreaks],
+            &[Kind::Shift, Kind::Worthless, Kind::GiveUp, Kind::RepeatStorm, Kind::SlowOp],
+            &[Kind::RouterKill, Kind::RouterRoll],
+        ];
+        for family in families {
+            let kind = family[rng.random_range(0..family.len())];
+            let at = rng.random_range(length / 10..length * 3 / 4);
+            day.troubles.push(Trouble { at, ..usual(kind) });
+        }
+        day.troubles.sort_by_key(|t| t.at);
+        day
+    }
+
+    /// One kind of trouble only, during the trial of a good build; with `BadBuild`, a bad one and no other.
+    pub fn only(kind: Kind, seed: u64, length: Micros) -> Scenario {
+        let mut day = Scenario { name: format!("only {}", kind.name()), ..Scenario::plain(seed, length) };
+        let mut rng = StdRng::seed_from_u64(seed);
+        let flaw = if kind == Kind::BadBuild { draw_flaw(&mut rng) } else { Flaw::None };
+        day.builds.push(Build { number: 2, offered: length / 10, flaw, speed: 1.0 });
+        if !matches!(kind, Kind::BadBuild | Kind::None) {
+            let at = rng.random_range(length / 8..length / 2);
+            day.troubles.push(Trouble { at, ..usual(kind) });
+        }
+        day
+    }
+
+    pub fn cap(&self, stage: usize) -> f64 {
+        (self.stage_shares[stage] * self.slack).min(1.0)
+    }
+}
+
+fn draw_flaw(rng: &mut StdRng) -> Flaw {
+    match rng.random_range(0..7) {
+        0 => Flaw::Errors(rng.random_range(0.08..0.36)),
+        1 => Flaw::OneOp(rng.random_range(0.25..0.9)),
+        2 => Flaw::Slow(rng.random_range(1.9..3.7)),
+        3 => Flaw::UnderLoad(rng.random_range(0.2..0.5)),
+        4 => Flaw::Late(rng.random_range(0.3..0.7)),
+        5 => Flaw::Shared(rng.random_range(2.0..3.5)),
+        _ => Flaw::Wrong(rng.random_range(0.2..0.6)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn equal_seeds_draw_equal_days_and_others_others() {
+        let day = |seed| serde_json::to_string(&Scenario::bad_day(seed, 60 * SECOND)).unwrap();
+        assert_eq!(day(3), day(3));
+        assert_ne!(day(3), day(4));
+    }
+
+    #[test]
+    fn a_trouble_survives_its_own_text_and_faults_are_named() {
+        let trouble: Trouble = "cut:at=5s:lasts=6.5s".parse().unwrap();
+        assert_eq!((trouble.kind, trouble.at, trouble.lasts), (Kind::Cut, 5 * SECOND, 6_500_000));
+        assert_eq!(trouble.to_string().parse::<Trouble>().unwrap().to_string(), trouble.to_string());
+        assert!("cut".parse::<Trouble>().unwrap_err().contains("at= is missing"));
+        assert!("cutt:at=1s".parse::<Trouble>().unwrap_err().contains("router-roll"));
+        assert!("cut:at=1".parse::<Trouble>().unwrap_err().contains("ends in s"));
+    }
+}
