--- a/crates/spokeflow-proto/src/message.rs
+++ b/crates/spokeflow-proto/src/message.rs
@@ -135,6 +135,8 @@
     Probe {
         probe: u64,
     },
+    /// Asks whether the way still bears: answered with `Pong` at once, whatever the host is busy with.
+    Ping,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -167,6 +169,7 @@
     Probed {
         probe: u64,
     },
+    Pong,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/spokeflow-router/src/clients.rs
+++ b/crates/spokeflow-router/src/clients.rs
@@ -51,8 +51,11 @@
                 if let Some(kept_back) = self.clock.line() {
                     info!(conn = self.conn, peer = %self.peer, kept_back, %fault, "client refused");
                 }
-                let refused = ToClient::Refused(fault.refused());
-                let _ = timeout(STALL, link.send(refused)).await;
+                // A peer that reads nothing would not read this either.
+                if !matches!(fault, FrameFault::TooSlow) {
+                    let refused = ToClient::Refused(fault.refused());
+                    let _ = timeout(STALL, link.send(refused)).await;
+                }
             }
         }
         let _ = self.core.send(Arrival::ClientGone(self.conn)).await;
--- a/crates/spokeflow-router/src/hosts.rs
+++ b/crates/spokeflow-router/src/hosts.rs
@@ -1,5 +1,6 @@
 //! One task for each host: its connection, made when there is work, kept, and made anew with growing pauses.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use spokeflow_proto::{FrameCodec, FromHost, Hello, ToHost, WORK_LIMIT};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout, Instant};
 use tokio_util::codec::FramedRead;
@@ -21,6 +22,8 @@
 
 /// Encoded and not yet taken by the system at most, beside what one message adds.
 const WRITE_AHEAD: usize = 16 << 10;
+/// Bytes that the system queues for a host at most.
+const SYSTEM_QUEUE: u32 = 64 << 10;
 
 /// What the list says of the host.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +44,8 @@
     pub first_pause: Duration,
     pub longest_pause: Duration,
     pub idle: Duration,
+    /// A way on which nothing has come for so long, a ping among it, is cut.
+    pub way_timeout: Duration,
 }
 
 impl LinkTerms {
@@ -178,6 +183,8 @@
         let codec = FrameCodec::<FromHost, ToHost>::new(WORK_LIMIT);
         let mut bytes = BytesMut::new();
         let mut idle_at = Instant::now() + self.terms.idle;
+        let way = self.terms.way_timeout;
+        let (mut quiet_since, mut pinged, mut was_idle) = (Instant::now(), false, true);
         let ended = loop {
             let mut late = Vec::new();
             while bytes.len() < WRITE_AHEAD {
@@ -197,7 +204,12 @@
             }
             if !outgoing.idle() {
                 idle_at = Instant::now() + self.terms.idle;
+                if std::mem::take(&mut was_idle) {
+                    (quiet_since, pinged) = (Instant::now(), false);
+                }
             }
+            was_idle = outgoing.idle();
+            let listen_until = quiet_since + if pinged { way } else { way / 2 };
             let close_by =
                 self.listed.borrow().close_by.filter(|_| outgoing.is_closed() && outgoing.half_sent());
             tokio::select! {
@@ -208,7 +220,8 @@
                 },
                 // A frame that the host has not taken by the end of the grace must not arrive after it.
                 _ = sleep_until(close_by.unwrap_or_else(Instant::now)), if close_by.is_some() => {
-                    info!(host = self.host.0, "draining host does not read: connection closed");
+                    info!(host = self.host.0, "draining host does not read: connection dropped");
+                    let _ = writer.as_ref().set_zero_linger();
                     break Ended::Broken;
                 }
                 taken = writer.write_buf(&mut bytes), if !bytes.is_empty() => match taken {
@@ -216,7 +229,9 @@
                     _ => break Ended::Broken,
                 },
                 read = reader.next() => match read {
+                    Some(Ok(FromHost::Pong)) => (quiet_since, pinged) = (Instant::now(), false),
                     Some(Ok(message)) => {
+                        (quiet_since, pinged) = (Instant::now(), false);
                         match &message {
                             FromHost::Acked { delivery, .. } | FromHost::Error { delivery }
                                 | FromHost::Full { delivery } => outgoing.answered(*delivery),
@@ -241,6 +256,20 @@
                     None => break Ended::Done,
                 },
                 _ = sleep_until(idle_at), if outgoing.idle() => break Ended::Idle,
+                _ = sleep_until(listen_until), if !outgoing.idle() => {
+                    if !pinged {
+                        pinged = true;
+                        outgoing.push(ToHost::Ping, Micros::MAX);
+                        continue;
+                    }
+                    // What the system still holds for a way that is cut would arrive when the cut ends, after
+                    // hosts have forgotten the mark of a repeat: it is dropped with the connection.
+                    if let Some(kept_back) = self.clock.line() {
+                        info!(host = self.host.0, kept_back, "the way to the host is silent: connection dropped");
+                    }
+                    let _ = writer.as_ref().set_zero_linger();
+                    break Ended::Broken;
+                }
             }
         };
         let left = outgoing.broken(bytes.len());
@@ -255,7 +284,13 @@
     hello: Hello,
     listed: Listed,
 ) -> Result<(Reader, OwnedWriteHalf, FromHost), String> {
-    let stream = TcpStream::connect(&listed.address).await.map_err(|e| e.to_string())?;
+    let address: SocketAddr =
+        listed.address.parse().map_err(|_| format!("'{}' is no address", listed.address))?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let socket = socket.map_err(|e| e.to_string())?;
+    // What the system has taken cannot be taken back when the host drains: little of it, then.
+    let _ = socket.set_send_buffer_size(SYSTEM_QUEUE);
+    let stream = socket.connect(address).await.map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
     let (read, mut write) = stream.into_split();
     let mut bytes = BytesMut::new();
--- a/crates/spokeflow-router/src/serve.rs
+++ b/crates/spokeflow-router/src/serve.rs
@@ -183,6 +183,7 @@
         first_pause: terms.reconnect_first,
         longest_pause: terms.reconnect_most,
         idle: terms.connection_idle,
+        way_timeout: terms.way_timeout,
     });
     let mut helpers = JoinSet::new();
     let (list, asked) = mpsc::channel(FEW);
--- a/crates/spokeflow-standin/src/hosts.rs
+++ b/crates/spokeflow-standin/src/hosts.rs
@@ -345,6 +345,7 @@
                 self.model.lock().expect("no holder panics").cancel(conn, delivery);
             }
             ToHost::Probe { probe } => self.reply(conn, FromHost::Probed { probe }, 0),
+            ToHost::Ping => self.reply(conn, FromHost::Pong, 0),
             ToHost::Hello(_) => {}
         }
         self.pump();
