--- a/crates/spokeflow-standin/src/lib.rs
+++ b/crates/spokeflow-standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod desk;
 pub mod host;
 pub mod hosts;
+pub mod load;
 pub mod office;
 pub mod report;
 pub mod routers;
--- a/crates/spokeflow-standin/src/routers.rs
+++ b/crates/spokeflow-standin/src/routers.rs
@@ -41,8 +41,19 @@
 impl RouterProcess {
     /// Errors: it does not start or does not say where it listens.
     pub async fn start(starting: &Starting, flags: &[String], name: &str) -> Result<RouterProcess, String> {
+        let mut flags = flags.to_vec();
+        flags.push(format!("--log={}", starting.log));
+        RouterProcess::start_as(starting, &flags, name).await
+    }
+
+    /// A program that listens as a router does and takes no flags of the log.
+    pub async fn start_plain(starting: &Starting, flags: &[String]) -> Result<RouterProcess, String> {
+        RouterProcess::start_as(starting, flags, "plain").await
+    }
+
+    async fn start_as(starting: &Starting, flags: &[String], name: &str) -> Result<RouterProcess, String> {
         let mut command = Command::new(&starting.program);
-        command.args(&starting.first).args(flags).arg(format!("--log={}", starting.log));
+        command.args(&starting.first).args(flags);
         let log = match &starting.logs {
             Some(folder) => {
                 let file = folder.join(format!("{name}.log"));
@@ -88,6 +99,15 @@
         }
     }
 
+    /// Processor time used so far, where the system tells.
+    pub fn cpu(&self) -> Option<Duration> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()?)).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        // The kernel tells in hundredths of a second on every platform that this runs on.
+        Some(Duration::from_millis(ticks * 10))
+    }
+
     /// Resident memory in KiB, where the system tells.
     pub fn resident(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()?)).ok()?;
