--- a/crates/spokeflow-standin/src/clients.rs
+++ b/crates/spokeflow-standin/src/clients.rs
@@ -252,7 +252,8 @@
             });
             let customer = pick(&mut rng, weights);
             let site = if rng.random_bool(faults.shift) { 0 } else { rng.random_range(0..day.sites) };
-            let key = keys.sample(&mut rng) as u64;
+            let hot = rng.random_bool(faults.hot_key);
+            let key = if hot { 1_000_000 + (at / SECOND) as u64 } else { keys.sample(&mut rng) as u64 };
             let command = Wanted { op, customer, site, key, due: at, seed: rng.random() };
             tokio::spawn(self.clone().command(command));
         }
--- a/crates/spokeflow-standin/src/day.rs
+++ b/crates/spokeflow-standin/src/day.rs
@@ -355,6 +355,7 @@
             Kind::Worthless => faults.worthless = trouble.size,
             Kind::GiveUp => faults.give_up = trouble.size.clamp(0.0, 1.0),
             Kind::RepeatStorm => faults.repeats = trouble.size,
+            Kind::HotKey => faults.hot_key = trouble.size.clamp(0.0, 1.0),
             Kind::RouterKill | Kind::RouterRoll => {
                 drop(faults);
                 let mut all: Vec<u32> = (0..self.world.day.routers).collect();
@@ -365,7 +366,7 @@
                 let apart = if hard { 0 } else { trouble.lasts / all.len() as Micros };
                 tokio::spawn(self.restarting().run(all, hard, down, apart));
             }
-            Kind::BadBuild | Kind::None => {}
+            Kind::BadBuild | Kind::TakeBack | Kind::None => {}
         }
     }
 
@@ -392,7 +393,9 @@
             Kind::Worthless => faults.worthless = 0.0,
             Kind::GiveUp => faults.give_up = 0.0,
             Kind::RepeatStorm => faults.repeats = 0.0,
-            Kind::Kill | Kind::RouterKill | Kind::RouterRoll | Kind::BadBuild | Kind::None => {}
+            Kind::HotKey => faults.hot_key = 0.0,
+            Kind::Kill | Kind::RouterKill | Kind::RouterRoll => {}
+            Kind::BadBuild | Kind::TakeBack | Kind::None => {}
         }
     }
 
--- a/crates/spokeflow-standin/src/hosts.rs
+++ b/crates/spokeflow-standin/src/hosts.rs
@@ -42,6 +42,7 @@
     pub worthless: f64,
     pub give_up: f64,
     pub repeats: f64,
+    pub hot_key: f64,
 }
 
 /// What all stand-ins of a day share.
--- a/crates/spokeflow-standin/src/load.rs
+++ b/crates/spokeflow-standin/src/load.rs
@@ -34,6 +34,8 @@
     pub pass: bool,
     /// One client sends and never reads.
     pub stalled: bool,
+    /// A quarter of the hosts run a build that is on trial, with cold starts and votes.
+    pub trial: bool,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -78,13 +80,14 @@
     let (due, mut answers) = mpsc::unbounded_channel::<(tokio::time::Instant, FromHost)>();
     tokio::spawn(async move {
         while let Some((at, message)) = answers.recv().await {
-            if !after.is_zero() {
+            if at > tokio::time::Instant::now() {
+                // What has been answered leaves before this one is waited for.
+                if send.flush().await.is_err() {
+                    return;
+                }
                 sleep_until(at).await;
             }
-            if send.feed(message).await.is_err() {
-                return;
-            }
-            if answers.is_empty() && send.flush().await.is_err() {
+            if send.feed(message).await.is_err() || answers.is_empty() && send.flush().await.is_err() {
                 return;
             }
         }
@@ -105,13 +108,13 @@
 }
 
 /// A list and a desk that say one thing.
-async fn office(hosts: &[SocketAddr]) -> std::io::Result<(SocketAddr, SocketAddr)> {
+async fn office(hosts: &[SocketAddr], trial: bool) -> std::io::Result<(SocketAddr, SocketAddr)> {
     let (list, desk) = (TcpListener::bind("127.0.0.1:0").await?, TcpListener::bind("127.0.0.1:0").await?);
     let addresses = (list.local_addr()?, desk.local_addr()?);
     let line = |(n, address): (usize, &SocketAddr)| Line {
         host: n as u32,
         address: address.to_string(),
-        build: Some(1),
+        build: Some(if trial && n % 4 == 0 { 2 } else { 1 }),
         cell: 0,
         zone: 0,
         phase: LinePhase::Ready,
@@ -143,8 +146,11 @@
             tokio::spawn(async move {
                 let mut link: Framed<_, FrameCodec<ToDesk, FromDesk>> =
                     Framed::new(stream, FrameCodec::new(WORK_LIMIT));
-                let standing = NewsStanding::Released;
-                let news = News { build: 1, stage: 0, standing, cap: 1.0, age_us: 1 << 30 };
+                let (build, standing, cap) = match trial {
+                    true => (2, NewsStanding::OnTrial, 0.35),
+                    false => (1, NewsStanding::Released, 1.0),
+                };
+                let news = News { build, stage: 2, standing, cap, age_us: 0 };
                 for message in [FromDesk::Welcome, FromDesk::News(news)] {
                     if link.send(message).await.is_err() {
                         return;
@@ -167,7 +173,7 @@
         let flags: Vec<String> = addresses.iter().map(|a| format!("--host={a}")).collect();
         RouterProcess::start_plain(&pass, &flags).await?
     } else {
-        let (list, desk) = office(&addresses).await.map_err(fault)?;
+        let (list, desk) = office(&addresses, load.trial).await.map_err(fault)?;
         let flags = [
             "--listen=127.0.0.1:0".into(),
             format!("--list={list}"),
--- a/crates/spokeflow-standin/src/main.rs
+++ b/crates/spokeflow-standin/src/main.rs
@@ -66,6 +66,9 @@
     /// One more client sends 60 kB commands and never reads
     #[arg(long)]
     stalled: bool,
+    /// A quarter of the hosts run a build on trial
+    #[arg(long)]
+    trial: bool,
     /// Prints one JSON value for each run
     #[arg(long)]
     json: bool,
@@ -155,6 +158,7 @@
             answer_after: std::time::Duration::from_millis(flags.answer_after),
             pass: run % 2 == 0,
             stalled: flags.stalled,
+            trial: flags.trial,
         };
         let m = runtime.block_on(put(&load, &starting))?;
         if flags.json {
--- a/crates/spokeflow-standin/src/scenario.rs
+++ b/crates/spokeflow-standin/src/scenario.rs
@@ -95,16 +95,20 @@
     GiveUp,
     RepeatStorm,
     SlowOp,
+    /// A part of the traffic is about one key, another one each second.
+    HotKey,
     RouterKill,
     RouterRoll,
     /// A build with a flaw, drawn by the seed.
     BadBuild,
+    /// A good build is taken off in its last stage, when nearly all earlier hosts have gone.
+    TakeBack,
     /// All in order, with a good build.
     None,
 }
 
 impl Kind {
-    pub const ALL: [Kind; 23] = [
+    pub const ALL: [Kind; 25] = [
         Kind::Kill,
         Kind::Hang,
         Kind::Slow,
@@ -124,9 +128,11 @@
         Kind::GiveUp,
         Kind::RepeatStorm,
         Kind::SlowOp,
+        Kind::HotKey,
         Kind::RouterKill,
         Kind::RouterRoll,
         Kind::BadBuild,
+        Kind::TakeBack,
         Kind::None,
     ];
 
@@ -211,7 +217,8 @@
         Kind::SlowOp => (10.0, 0.0, 4.0),
         Kind::RouterKill => (3.0, 0.34, 0.0),
         Kind::RouterRoll => (12.0, 1.0, 0.8),
-        Kind::BadBuild | Kind::None => (0.0, 0.0, 0.0),
+        Kind::HotKey => (20.0, 0.0, 0.6),
+        Kind::BadBuild | Kind::TakeBack | Kind::None => (0.0, 0.0, 0.0),
     };
     Trouble { kind, at: 0, lasts: (lasts * SECOND as f64) as Micros, part, size }
 }
@@ -332,7 +339,7 @@
             &[Kind::Kill, Kind::Hang, Kind::Slow, Kind::FastErrors],
             &[Kind::Cut, Kind::CutList, Kind::CutHosts, Kind::SlowLink, Kind::SlowConnects],
             &[Kind::StalledDesk, Kind::LateDesk, Kind::RefusingDesk, Kind::LateList, Kind::ListBreaks],
-            &[Kind::Shift, Kind::Worthless, Kind::GiveUp, Kind::RepeatStorm, Kind::SlowOp],
+            &[Kind::Shift, Kind::Worthless, Kind::GiveUp, Kind::RepeatStorm, Kind::SlowOp, Kind::HotKey],
             &[Kind::RouterKill, Kind::RouterRoll],
         ];
         for family in families {
@@ -350,8 +357,18 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let flaw = if kind == Kind::BadBuild { draw_flaw(&mut rng) } else { Flaw::None };
         day.builds.push(Build { number: 2, offered: length / 10, flaw, speed: 1.0 });
-        if !matches!(kind, Kind::BadBuild | Kind::None) {
-            let at = rng.random_range(length / 8..length / 2);
+        if kind == Kind::TakeBack {
+            // Each stage takes some five seconds: by then the last one has begun.
+            day.builds.push(Build {
+                number: 3,
+                offered: length / 10 + 24 * SECOND,
+                flaw: Flaw::None,
+                speed: 1.0,
+            });
+        }
+        if !matches!(kind, Kind::BadBuild | Kind::TakeBack | Kind::None) {
+            let early = if kind == Kind::HotKey { length / 10 } else { length / 8 };
+            let at = rng.random_range(early..if kind == Kind::HotKey { length / 6 } else { length / 2 });
             day.troubles.push(Trouble { at, ..usual(kind) });
         }
         day
