--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -819,7 +819,10 @@
     /// Commands asked and answered of late, and one alone, for each whole host's worth of fit capacity.
     fn load(&self) -> [f64; 3] {
         let open = |h: &usize| self.hosts.strikes[*h] == 0 && self.now >= self.hosts.shut_until[*h];
-        let able: f64 = self.ready().filter(open).map(|h| self.warmth(h)).sum();
+        self.spread(self.ready().filter(open).map(|h| self.warmth(h)).sum())
+    }
+
+    fn spread(&self, able: f64) -> [f64; 3] {
         // The fading counts of a young router have not filled up yet.
         let filled = 1.0 - (-(self.now - self.born) as f64 / (4 * SECOND) as f64).exp();
         [self.flow[0] / filled.max(0.1), self.flow[1] / filled.max(0.1), 1.0].map(|n| n / able.max(1.0))
@@ -981,7 +984,10 @@
         self.grow_lane();
         self.forget_window();
         let load = self.load();
-        let pace = load[1].max(load[0] / 4.0) / 4.0;
+        // Guards against a storm while most hosts are set aside: what is asked of the few left is no measure of
+        // what a whole host can do. It could harm where dead hosts stay listed: cold ones then get less.
+        let [asked, answered, _] = self.spread(self.ready().map(|h| self.warmth(h)).sum());
+        let pace = answered.max(asked / 4.0) / 4.0;
         // A fleet that answers little for a while can still do what it did.
         self.pace += (pace - self.pace) * if pace > self.pace { 0.01 } else { 0.001 };
         if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now > self.born + 2 * SECOND {
--- a/crates/spokeflow-standin/src/day.rs
+++ b/crates/spokeflow-standin/src/day.rs
@@ -310,15 +310,16 @@
         let world = self.world.clone();
         let mut faults = world.faults.lock().expect("no holder panics");
         match trouble.kind {
-            Kind::Kill => {
+            Kind::Kill | Kind::LoneHost => {
                 drop(faults);
-                for host in self.strike(n, trouble.part) {
+                for (nth, host) in self.strike(n, trouble.part).into_iter().enumerate() {
                     let (incarnation, late) = (self.incarnation(host), self.late());
                     if let Some(seat) = self.seats.get_mut(&host) {
                         seat.process = None;
                     }
                     self.list(host, Phase::Gone, incarnation, late);
-                    self.reviving.push((now + trouble.lasts, host));
+                    let first = trouble.kind == Kind::LoneHost && nth == 0;
+                    self.reviving.push((now + if first { seconds } else { trouble.lasts }, host));
                 }
             }
             Kind::Hang => {
@@ -394,7 +395,7 @@
             Kind::GiveUp => faults.give_up = 0.0,
             Kind::RepeatStorm => faults.repeats = 0.0,
             Kind::HotKey => faults.hot_key = 0.0,
-            Kind::Kill | Kind::RouterKill | Kind::RouterRoll => {}
+            Kind::Kill | Kind::LoneHost | Kind::RouterKill | Kind::RouterRoll => {}
             Kind::BadBuild | Kind::TakeBack | Kind::None => {}
         }
     }
--- a/crates/spokeflow-standin/src/scenario.rs
+++ b/crates/spokeflow-standin/src/scenario.rs
@@ -77,6 +77,8 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     Kill,
+    /// All hosts die, and one is back long before the others.
+    LoneHost,
     Hang,
     Slow,
     FastErrors,
@@ -108,8 +110,9 @@
 }
 
 impl Kind {
-    pub const ALL: [Kind; 25] = [
+    pub const ALL: [Kind; 26] = [
         Kind::Kill,
+        Kind::LoneHost,
         Kind::Hang,
         Kind::Slow,
         Kind::FastErrors,
@@ -201,6 +204,7 @@
 fn usual(kind: Kind) -> Trouble {
     let (lasts, part, size) = match kind {
         Kind::Kill => (8.0, 0.2, 0.0),
+        Kind::LoneHost => (5.0, 1.0, 0.3),
         Kind::Hang => (8.0, 0.15, 0.0),
         Kind::Slow => (10.0, 0.2, 4.0),
         Kind::FastErrors => (8.0, 0.15, 0.7),
@@ -336,7 +340,7 @@
         day.builds.push(Build { number: 3, offered: length / 2, flaw: next, speed: 1.0 });
         // One of each family, in any order, at times that let them overlap.
         let families: [&[Kind]; 5] = [
-            &[Kind::Kill, Kind::Hang, Kind::Slow, Kind::FastErrors],
+            &[Kind::Kill, Kind::LoneHost, Kind::Hang, Kind::Slow, Kind::FastErrors],
             &[Kind::Cut, Kind::CutList, Kind::CutHosts, Kind::SlowLink, Kind::SlowConnects],
             &[Kind::StalledDesk, Kind::LateDesk, Kind::RefusingDesk, Kind::LateList, Kind::ListBreaks],
             &[Kind::Shift, Kind::Worthless, Kind::GiveUp, Kind::RepeatStorm, Kind::SlowOp, Kind::HotKey],
