A cold host's budget rests on answers alone once a router is five seconds old

With most hosts dead and clients storming, a router was asked 200 commands a second at three listed hosts, so each router took a cold host for three times what it can do: 61 deliveries in 2.4 s. Change: asked counts in a router's first five seconds only.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -984,10 +984,12 @@
         self.grow_lane();
         self.forget_window();
         let load = self.load();
-        // Guards against a storm while most hosts are set aside: what is asked of the few left is no measure of
-        // what a whole host can do. It could harm where dead hosts stay listed: cold ones then get less.
+        // Guards against a storm, and against a fleet most of which has died: what is asked of the few hosts left
+        // is no measure of what a whole one can do, so it counts only until answers can. It could harm where
+        // traffic grows fast while hosts start: cold ones get more only as answers show it.
         let [asked, answered, _] = self.spread(self.ready().map(|h| self.warmth(h)).sum());
-        let pace = answered.max(asked / 4.0) / 4.0;
+        let young = f64::from(u8::from(self.now < self.born + 5 * SECOND));
+        let pace = answered.max(young * asked / 4.0) / 4.0;
         // A fleet that answers little for a while can still do what it did.
         self.pace += (pace - self.pace) * if pace > self.pace { 0.01 } else { 0.001 };
         if self.news.is_none_or(|n| n.standing != Standing::OnTrial) && self.now > self.born + 2 * SECOND {
