--- a/crates/spokeflow-standin/src/desk.rs
+++ b/crates/spokeflow-scenario/src/desk.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::scenario::{Gate, Scenario};
-use crate::tap::Standing;
+use crate::seen::Standing;
 use crate::{Micros, SECOND};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- /dev/null
+++ b/crates/spokeflow-scenario/src/faults.rs
@@ -0,0 +1,126 @@
+//! What troubles do to links, list, desk and clients while they last. What they do to hosts and routers is for
+//! whoever plays the day.
+
+use crate::scenario::{Kind, Scenario, Trouble};
+use crate::{Micros, MS, SECOND};
+
+/// Which links a cut or a slow way concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Hosts,
+    Office,
+}
+
+/// The site that list and desk stand in.
+pub const OFFICE_SITE: u16 = 0;
+/// One way between two sites.
+pub const BETWEEN_SITES: Micros = 2 * MS;
+/// How long a lost packet waits to be sent again.
+pub const RESENT_AFTER: Micros = 200 * MS;
+
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    pub cut_hosts: Option<u16>,
+    pub cut_office: Option<u16>,
+    pub slow_link: Option<(u16, Micros)>,
+    pub slow_connects: Micros,
+    pub stalled_desk: bool,
+    pub refusing_desk: bool,
+    pub late_desk: Micros,
+    pub late_list: Micros,
+    pub list_breaks: bool,
+    pub shift: f64,
+    pub worthless: f64,
+    pub give_up: f64,
+    pub repeats: f64,
+    pub hot_key: f64,
+    /// Part of the packets that are lost.
+    pub loss: f64,
+}
+
+impl Faults {
+    /// Trouble `n` of the day begins. `false`: it concerns hosts, routers or builds.
+    pub fn begin(&mut self, day: &Scenario, n: usize, trouble: &Trouble) -> bool {
+        let site = (n as u64 + day.seed) as u16 % day.sites;
+        let seconds = (trouble.size * SECOND as f64) as Micros;
+        match trouble.kind {
+            Kind::Cut => (self.cut_hosts, self.cut_office) = (Some(site), Some(site)),
+            // The list's own site cut off leaves every other router without news.
+            Kind::CutList => self.cut_office = Some(OFFICE_SITE),
+            Kind::CutHosts => self.cut_hosts = Some(site),
+            Kind::SlowLink => self.slow_link = Some((site, seconds)),
+            Kind::LossyLinks => self.loss = trouble.size.clamp(0.0, 0.9),
+            Kind::SlowConnects => self.slow_connects = seconds,
+            Kind::StalledDesk => self.stalled_desk = true,
+            Kind::RefusingDesk => self.refusing_desk = true,
+            Kind::LateDesk => self.late_desk = seconds,
+            Kind::LateList => self.late_list = seconds,
+            Kind::ListBreaks => self.list_breaks = true,
+            Kind::Shift => self.shift = trouble.size.clamp(0.0, 1.0),
+            Kind::Worthless => self.worthless = trouble.size,
+            Kind::GiveUp => self.give_up = trouble.size.clamp(0.0, 1.0),
+            Kind::RepeatStorm => self.repeats = trouble.size,
+            Kind::HotKey => self.hot_key = trouble.size.clamp(0.0, 1.0),
+            _ => return false,
+        }
+        true
+    }
+
+    /// `others`: troubles that still last, so that two of a kind which overlap end with the later one.
+    pub fn end(&mut self, day: &Scenario, trouble: &Trouble, others: &[(usize, Trouble)]) {
+        match trouble.kind {
+            Kind::Cut => (self.cut_hosts, self.cut_office) = (None, None),
+            Kind::CutList => self.cut_office = None,
+            Kind::CutHosts => self.cut_hosts = None,
+            Kind::SlowLink => self.slow_link = None,
+            Kind::LossyLinks => self.loss = 0.0,
+            Kind::SlowConnects => self.slow_connects = 0,
+            Kind::StalledDesk => self.stalled_desk = false,
+            Kind::RefusingDesk => self.refusing_desk = false,
+            Kind::LateDesk => self.late_desk = 0,
+            Kind::LateList => self.late_list = 0,
+            Kind::ListBreaks => self.list_breaks = false,
+            Kind::Shift => self.shift = 0.0,
+            Kind::Worthless => self.worthless = 0.0,
+            Kind::GiveUp => self.give_up = 0.0,
+            Kind::RepeatStorm => self.repeats = 0.0,
+            Kind::HotKey => self.hot_key = 0.0,
+            _ => return,
+        }
+        for (n, other) in others {
+            self.begin(day, *n, other);
+        }
+    }
+
+    /// The delay one way, or `None` while the sites are cut from each other.
+    pub fn way(&self, a: u16, b: u16, way: Way) -> Option<Micros> {
+        let cut = if way == Way::Hosts { self.cut_hosts } else { self.cut_office };
+        if a != b && cut.is_some_and(|site| site == a || site == b) {
+            return None;
+        }
+        let slow = self.slow_link.filter(|(site, _)| a != b && (*site == a || *site == b));
+        Some(if a == b { 0 } else { BETWEEN_SITES } + slow.map_or(0, |s| s.1))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_cuts_that_overlap_end_with_the_later_one() {
+        let day = Scenario::plain(0, 60 * SECOND);
+        let cut = |at: &str| at.parse::<Trouble>().unwrap();
+        let (first, second) = (cut("cut:at=1s"), cut("cut:at=2s"));
+        let mut faults = Faults::default();
+        assert!(faults.begin(&day, 0, &first) && faults.begin(&day, 1, &second));
+        assert_eq!(faults.way(0, 1, Way::Hosts), None);
+        faults.end(&day, &first, &[(1, second)]);
+        assert_eq!(
+            (faults.way(0, 1, Way::Hosts), faults.way(0, 2, Way::Office)),
+            (None, Some(BETWEEN_SITES))
+        );
+        faults.end(&day, &second, &[]);
+        assert_eq!(faults.way(0, 1, Way::Hosts), Some(BETWEEN_SITES));
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-scenario/src/flags.rs
@@ -0,0 +1,212 @@
+//! A day as flags and environment variables: the same words for sockets and for simulated time.
+
+use clap::{Args, ValueEnum};
+
+use crate::scenario::{Cancel, Kind, Scenario, Size, Trouble};
+use crate::{Micros, SECOND};
+
+/// The built-in days.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Built {
+    /// All in order, no build on trial
+    Plain,
+    /// One trouble of each family and two builds of which one is bad
+    BadDay,
+    /// Up to five troubles of any kind and size at any time, on hosts and clients of drawn habits
+    Drawn,
+}
+
+impl Built {
+    pub fn name(self) -> String {
+        self.to_possible_value().map_or_else(String::new, |v| v.get_name().to_string())
+    }
+}
+
+#[derive(Clone, Debug, Args)]
+#[command(next_help_heading = "The day")]
+pub struct DayFlags {
+    /// Draws the day
+    #[arg(long, env = "SPOKEFLOW_DAY_SEED", default_value_t = 1)]
+    pub seed: u64,
+    /// Seconds in which commands are sent
+    #[arg(long, env = "SPOKEFLOW_DAY_SECONDS", default_value_t = 60)]
+    pub seconds: u64,
+    /// A built-in day
+    #[arg(long, env = "SPOKEFLOW_DAY_SCENARIO", value_enum, default_value = "bad-day")]
+    pub scenario: Built,
+    /// One kind of trouble alone, with a good build on trial; bad-build: a bad one and nothing else
+    #[arg(long, env = "SPOKEFLOW_DAY_ONLY")]
+    pub only: Option<Kind>,
+    /// In place of the drawn troubles: KIND:at=TIME[:lasts=TIME][:part=NUMBER][:size=NUMBER], repeated or split
+    /// by commas
+    #[arg(long, env = "SPOKEFLOW_DAY_SCRIPT", value_delimiter = ',')]
+    pub script: Vec<Trouble>,
+    #[command(flatten)]
+    pub size: SizeFlags,
+}
+
+#[derive(Clone, Debug, Default, Args)]
+#[command(next_help_heading = "Its size and habits")]
+pub struct SizeFlags {
+    /// A built-in size
+    #[arg(long, env = "SPOKEFLOW_DAY_SIZE", value_enum)]
+    pub size: Option<Size>,
+    /// Routers, in place of the size's
+    #[arg(long, env = "SPOKEFLOW_DAY_ROUTERS")]
+    pub routers: Option<u32>,
+    /// Hosts, in place of the size's
+    #[arg(long, env = "SPOKEFLOW_DAY_HOSTS")]
+    pub hosts: Option<u32>,
+    /// Sites [default: 3]
+    #[arg(long, env = "SPOKEFLOW_DAY_SITES")]
+    pub sites: Option<u16>,
+    /// Commands a second, customers and keys in step [default: as many as the size's for each host]
+    #[arg(long, env = "SPOKEFLOW_DAY_RATE")]
+    pub rate: Option<f64>,
+    /// Cores of a host [default: 1]
+    #[arg(long, env = "SPOKEFLOW_DAY_CORES")]
+    pub cores: Option<u32>,
+    /// A share of all routers must vote, and routers tell each other what they see; in simulated time only
+    #[arg(long, env = "SPOKEFLOW_DAY_MAJORITY")]
+    pub majority: bool,
+    /// Bursts of a second, as a part of the rate [default: 0]
+    #[arg(long, env = "SPOKEFLOW_DAY_BURST")]
+    pub burst: Option<f64>,
+    /// Keys whose data a host keeps at hand; 0: all [default: 0]
+    #[arg(long, env = "SPOKEFLOW_DAY_CACHE_KEYS")]
+    pub cache_keys: Option<u32>,
+    /// How much each command that waits beyond two a core slows a host [default: 0]
+    #[arg(long, env = "SPOKEFLOW_DAY_THRASH")]
+    pub thrash: Option<f64>,
+    /// Hosts that share a machine [default: 0]
+    #[arg(long, env = "SPOKEFLOW_DAY_NEIGHBOURS")]
+    pub neighbours: Option<u32>,
+    /// How much of its speed a host loses to busy neighbours, 0 to 1 [default: 0]
+    #[arg(long, env = "SPOKEFLOW_DAY_STEAL")]
+    pub steal: Option<f64>,
+    /// What a host does with a cancelled command [default: stops]
+    #[arg(long, env = "SPOKEFLOW_DAY_CANCEL")]
+    pub cancel: Option<CancelFlag>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum CancelFlag {
+    /// Drops it wherever it is
+    Stops,
+    /// Drops it where it has not begun
+    Waiting,
+    /// Goes on
+    Ignored,
+}
+
+impl SizeFlags {
+    /// Errors: a flag and what is wrong with it.
+    pub fn apply(&self, mut day: Scenario) -> Result<Scenario, String> {
+        if let Some(size) = self.size {
+            day = day.sized(size);
+        }
+        let at_least_one = |flag: &str, n: u64| (n > 0).then_some(()).ok_or(format!("{flag}: at least 1"));
+        at_least_one("--routers", self.routers.unwrap_or(1).into())?;
+        at_least_one("--hosts", self.hosts.unwrap_or(1).into())?;
+        at_least_one("--sites", self.sites.unwrap_or(1).into())?;
+        at_least_one("--cores", self.cores.unwrap_or(1).into())?;
+        day.routers = self.routers.unwrap_or(day.routers);
+        day.sites = self.sites.unwrap_or(day.sites);
+        let (hosts, cores) = (self.hosts.unwrap_or(day.hosts), self.cores.unwrap_or(day.cores));
+        let able = |hosts: u32, cores: u32| f64::from(hosts) * f64::from(cores);
+        let grown = day.rate * able(hosts, cores) / able(day.hosts, day.cores);
+        let rate = self.rate.unwrap_or(grown);
+        if !(rate > 0.0 && rate.is_finite()) {
+            return Err("--rate: more than 0".into());
+        }
+        (day.hosts, day.cores) = (hosts, cores);
+        if (rate - day.rate).abs() > 1e-9 {
+            day.at_rate(rate);
+        }
+        if self.majority {
+            day = day.by_majority();
+        }
+        let not_negative = |flag: &str, n: Option<f64>, most: f64| match n {
+            Some(n) if !(0.0..=most).contains(&n) => Err(format!("{flag}: 0 to {most}")),
+            n => Ok(n),
+        };
+        day.burst = not_negative("--burst", self.burst, 100.0)?.unwrap_or(day.burst);
+        day.thrash = not_negative("--thrash", self.thrash, 10.0)?.unwrap_or(day.thrash);
+        day.steal = not_negative("--steal", self.steal, 1.0)?.unwrap_or(day.steal);
+        day.cache_keys = self.cache_keys.unwrap_or(day.cache_keys);
+        day.neighbours = self.neighbours.unwrap_or(day.neighbours);
+        if let Some(cancel) = self.cancel {
+            day.cancel = match cancel {
+                CancelFlag::Stops => Cancel::Stops,
+                CancelFlag::Waiting => Cancel::Waiting,
+                CancelFlag::Ignored => Cancel::Ignored,
+            };
+        }
+        Ok(day)
+    }
+}
+
+impl DayFlags {
+    /// Errors: a flag and what is wrong with it.
+    pub fn day(&self) -> Result<Scenario, String> {
+        self.with_seed(self.seed)
+    }
+
+    pub fn with_seed(&self, seed: u64) -> Result<Scenario, String> {
+        if self.seconds < 5 {
+            return Err("--seconds: at least 5".into());
+        }
+        let length = self.seconds as Micros * SECOND;
+        let mut day = match (self.only, self.scenario) {
+            (Some(kind), _) => Scenario::only(kind, seed, length),
+            (None, Built::Plain) => Scenario::plain(seed, length),
+            (None, Built::BadDay) => Scenario::bad_day(seed, length),
+            (None, Built::Drawn) => Scenario::drawn(seed, length),
+        };
+        if !self.script.is_empty() {
+            day.name = "script".into();
+            day.troubles.clone_from(&self.script);
+            day.troubles.sort_by_key(|t| t.at);
+        }
+        self.size.apply(day)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use clap::Parser;
+
+    #[derive(Parser)]
+    struct Program {
+        #[command(flatten)]
+        day: DayFlags,
+    }
+
+    fn day(flags: &[&str]) -> Result<Scenario, String> {
+        Program::parse_from([&["x"], flags].concat()).day.day()
+    }
+
+    #[test]
+    fn sizes_keep_the_load_for_each_host_and_flags_outrank_them() {
+        let (small, grown) = (day(&[]).unwrap(), day(&["--size", "grown"]).unwrap());
+        assert_eq!((grown.routers, grown.hosts, grown.rate), (150, 300, 1000.0));
+        let share = |d: &Scenario| d.customers.iter().map(|c| c.allowed).sum::<f64>() / d.rate;
+        assert!((share(&small) - share(&grown)).abs() < 1e-9);
+        let more = day(&["--hosts", "30", "--routers", "7"]).unwrap();
+        assert_eq!((more.routers, more.hosts, more.rate), (7, 30, 92.0));
+        assert_eq!(day(&["--hosts", "30", "--rate", "10"]).unwrap().rate, 10.0);
+    }
+
+    #[test]
+    fn faults_name_their_flag() {
+        for (flags, named) in [
+            (["--hosts", "0"], "--hosts"),
+            (["--rate", "0"], "--rate"),
+            (["--steal", "2"], "--steal"),
+            (["--seconds", "2"], "--seconds"),
+        ] {
+            assert!(day(&flags).unwrap_err().starts_with(named));
+        }
+    }
+}
--- a/crates/spokeflow-standin/src/host.rs
+++ b/crates/spokeflow-scenario/src/host.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
 
-use crate::scenario::{Flaw, Op, Repeat, Scenario};
+use crate::scenario::{Cancel, Flaw, Op, Repeat, Scenario};
 use crate::{Micros, SECOND};
 
 /// A delivery as the host holds it. `from` is any number that leads back to who sent it.
@@ -17,6 +17,7 @@
     pub tried: u64,
     pub command: u64,
     pub op: usize,
+    pub key: u64,
     pub mark: u64,
     pub expires: Micros,
 }
@@ -58,11 +59,20 @@
     pub slow_op: (usize, f64),
     /// What a build that slows all hosts does.
     pub drag: f64,
+    /// What busy hosts on the same machine do.
+    pub neighbours: f64,
 }
 
 impl Default for Ailment {
     fn default() -> Self {
-        Ailment { hangs: false, slower: 1.0, fails: 0.0, slow_op: (usize::MAX, 1.0), drag: 1.0 }
+        Ailment {
+            hangs: false,
+            slower: 1.0,
+            fails: 0.0,
+            slow_op: (usize::MAX, 1.0),
+            drag: 1.0,
+            neighbours: 1.0,
+        }
     }
 }
 
@@ -94,6 +104,12 @@
     running: Vec<(Micros, Done, Job)>,
     /// Work that has reached it lately, for the budget of a cold start.
     reached: VecDeque<(Micros, f64)>,
+    /// Keys whose data is at hand, the longest unused first; of a host with room for all of them, none.
+    at_hand: VecDeque<u64>,
+    cache_keys: usize,
+    miss_cost: f64,
+    thrash: f64,
+    cancel: Cancel,
     chance: StdRng,
 }
 
@@ -116,6 +132,11 @@
             waiting: VecDeque::new(),
             running: Vec::new(),
             reached: VecDeque::new(),
+            at_hand: VecDeque::new(),
+            cache_keys: day.cache_keys as usize,
+            miss_cost: day.miss_cost,
+            thrash: day.thrash,
+            cancel: day.cancel,
             chance: StdRng::seed_from_u64(seed),
         }
     }
@@ -181,6 +202,8 @@
             } else {
                 1000.0
             };
+            let beyond = self.waiting.len().saturating_sub(2 * self.cores) as f64;
+            let slower = slower * self.fetch(job.key) * (1.0 + self.thrash * beyond);
             let took = work * slower / (self.speed * self.warmth(now));
             let done = match (failed, wrong) {
                 (true, _) => Done::Error,
@@ -194,9 +217,41 @@
         begun
     }
 
+    /// By how much the work grows where the key's data is not at hand.
+    fn fetch(&mut self, key: u64) -> f64 {
+        if self.cache_keys == 0 || key == 0 {
+            return 1.0;
+        }
+        let had = self.at_hand.iter().position(|k| *k == key);
+        if let Some(at) = had {
+            self.at_hand.remove(at);
+        }
+        self.at_hand.push_back(key);
+        if self.at_hand.len() > self.cache_keys {
+            self.at_hand.pop_front();
+        }
+        if had.is_some() {
+            1.0
+        } else {
+            self.miss_cost
+        }
+    }
+
+    /// Cores that work now, as a part of all.
+    pub fn busy(&self) -> f64 {
+        self.running.len() as f64 / self.cores as f64
+    }
+
+    /// Work that is before a command which arrives now, in microseconds of one core that is warm and well.
+    pub fn work_before(&self, now: Micros) -> f64 {
+        let waiting: f64 = self.waiting.iter().map(|j| self.ops[j.op].work as f64).sum();
+        let running: f64 = self.running.iter().map(|r| (r.0 - now).max(0) as f64).sum();
+        (waiting + running) / self.cores as f64
+    }
+
     fn flaw_of(&mut self, job: &Job, now: Micros, crowded: bool) -> (f64, f64, bool) {
         let ail = self.ailment;
-        let mut slower = ail.slower * ail.drag;
+        let mut slower = ail.slower * ail.drag * ail.neighbours;
         if job.op == ail.slow_op.0 {
             slower *= ail.slow_op.1;
         }
@@ -231,11 +286,14 @@
         ended.into_iter().map(|(_, done, job)| (job, if hangs { Done::Silent } else { done })).collect()
     }
 
-    /// Work stops when its command is cancelled.
     pub fn cancel(&mut self, from: u64, delivery: u64) {
         let same = |j: &Job| j.from == from && j.delivery == delivery;
-        self.waiting.retain(|j| !same(j));
-        self.running.retain(|r| !same(&r.2));
+        if self.cancel != Cancel::Ignored {
+            self.waiting.retain(|j| !same(j));
+        }
+        if self.cancel == Cancel::Stops {
+            self.running.retain(|r| !same(&r.2));
+        }
     }
 }
 
@@ -244,7 +302,7 @@
     use super::*;
 
     fn job(n: u64, op: usize) -> Job {
-        Job { from: 1, delivery: n, tried: n, command: n, op, mark: n, expires: 100 * SECOND }
+        Job { from: 1, delivery: n, tried: n, command: n, op, key: n, mark: n, expires: 100 * SECOND }
     }
 
     fn host(started: Option<Micros>) -> (Scenario, Host) {
@@ -301,4 +359,20 @@
         let at = host.next().unwrap();
         assert_eq!(host.ended(at)[0].1, Done::Silent);
     }
+
+    #[test]
+    fn keys_at_hand_cost_less_and_a_cancel_is_heeded_as_the_day_says() {
+        let day = Scenario { cache_keys: 2, miss_cost: 3.0, ..Scenario::plain(1, 60 * SECOND) };
+        let mut host = Host::new(&day, Flaw::None, 1.0, None, 5);
+        let cost: Vec<f64> = [1, 1, 2, 3, 2, 1].iter().map(|k| host.fetch(*k)).collect();
+        assert_eq!(cost, [3.0, 1.0, 3.0, 3.0, 1.0, 3.0]);
+        for (cancel, left) in [(Cancel::Stops, 0), (Cancel::Waiting, 1), (Cancel::Ignored, 2)] {
+            let day = Scenario { cancel, ..day.clone() };
+            let mut host = Host::new(&day, Flaw::None, 1.0, None, 5);
+            assert!((1..3).all(|n| host.arrive(0, job(n, 0))));
+            host.begin(0, &mut Marks::default());
+            (1..3).for_each(|n| host.cancel(1, n));
+            assert_eq!(host.held(), left);
+        }
+    }
 }
--- a/crates/spokeflow-standin/src/scenario.rs
+++ b/crates/spokeflow-scenario/src/scenario.rs
@@ -86,6 +86,8 @@
     CutList,
     CutHosts,
     SlowLink,
+    /// Packets are lost and sent again.
+    LossyLinks,
     SlowConnects,
     StalledDesk,
     LateDesk,
@@ -110,7 +112,7 @@
 }
 
 impl Kind {
-    pub const ALL: [Kind; 26] = [
+    pub const ALL: [Kind; 27] = [
         Kind::Kill,
         Kind::LoneHost,
         Kind::Hang,
@@ -120,6 +122,7 @@
         Kind::CutList,
         Kind::CutHosts,
         Kind::SlowLink,
+        Kind::LossyLinks,
         Kind::SlowConnects,
         Kind::StalledDesk,
         Kind::LateDesk,
@@ -210,6 +213,7 @@
         Kind::FastErrors => (8.0, 0.15, 0.7),
         Kind::Cut | Kind::CutList | Kind::CutHosts => (7.0, 0.0, 0.0),
         Kind::SlowLink => (8.0, 0.0, 0.3),
+        Kind::LossyLinks => (10.0, 0.0, 0.05),
         Kind::SlowConnects => (8.0, 1.0, 0.2),
         Kind::StalledDesk | Kind::RefusingDesk => (8.0, 0.0, 0.0),
         Kind::LateDesk | Kind::LateList => (12.0, 0.0, 4.0),
@@ -265,10 +269,83 @@
     pub news_every: Micros,
     /// Part of the wrong answers that clients report.
     pub reported: f64,
+    /// Routers tell each other what they see.
+    pub tells: bool,
+    /// How uneven keys are asked for, the exponent of Zipf's law.
+    pub key_skew: f64,
+    /// The wave of the traffic: how much of the rate, and how long.
+    pub wave: f64,
+    pub wave_span: Micros,
+    /// Bursts of a second, now and then: how much more of the rate.
+    pub burst: f64,
+    /// Keys whose data a host keeps at hand; 0: all. Others cost so many times the work.
+    pub cache_keys: u32,
+    pub miss_cost: f64,
+    /// With more than two waiting for each core, each further one slows all by this part.
+    pub thrash: f64,
+    pub cancel: Cancel,
+    /// Hosts that share a machine, and how much a busy neighbour slows a host.
+    pub neighbours: u32,
+    pub steal: f64,
     pub troubles: Vec<Trouble>,
 }
 
+/// What a host does with a cancelled command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cancel {
+    /// Drops it wherever it is.
+    Stops,
+    /// Drops it where it has not begun.
+    Waiting,
+    Ignored,
+}
+
+/// Sizes that are tried again and again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Size {
+    /// 3 routers, 15 hosts, 46 commands a second: what sockets on one machine play
+    Small,
+    /// 20 routers, 60 hosts, 200 commands a second
+    Middle,
+    /// 150 routers, 300 hosts, 1,000 commands a second
+    Grown,
+    /// 600 routers, 90 hosts, 300 commands a second
+    ManyRouters,
+    /// 20 routers, 3,000 hosts, 10,000 commands a second
+    ManyHosts,
+}
+
 impl Scenario {
+    /// The same day at another size: customers, keys and rate grow in step.
+    pub fn sized(mut self, size: Size) -> Scenario {
+        let (routers, hosts, rate) = match size {
+            Size::Small => return self,
+            Size::Middle => (20, 60, 200.0),
+            Size::Grown => (150, 300, 1000.0),
+            Size::ManyRouters => (600, 90, 300.0),
+            Size::ManyHosts => (20, 3000, 10_000.0),
+        };
+        (self.routers, self.hosts) = (routers, hosts);
+        self.at_rate(rate);
+        self
+    }
+
+    /// Another rate, with customers and keys in step.
+    pub fn at_rate(&mut self, rate: f64) {
+        let times = rate / self.rate;
+        self.rate = rate;
+        self.customers.iter_mut().for_each(|c| c.allowed *= times);
+        self.keys = ((self.keys as f64 * times) as u64).max(1);
+    }
+
+    /// A fleet in which a share of all routers must vote and routers tell each other what they see.
+    pub fn by_majority(mut self) -> Scenario {
+        (self.gate, self.tells) = (Gate::Majority, true);
+        self
+    }
+
     /// A day like those at the first operators' relays, without troubles.
     pub fn plain(seed: u64, length: Micros) -> Scenario {
         let op = |name, share, work, target, timeout, importance, repeat| Op {
@@ -325,6 +402,17 @@
             news_late: [260 * MS, 880 * MS],
             news_every: 4 * SECOND,
             reported: 0.15,
+            tells: false,
+            key_skew: 0.7,
+            wave: 0.15,
+            wave_span: 15 * SECOND,
+            burst: 0.0,
+            cache_keys: 0,
+            miss_cost: 2.0,
+            thrash: 0.0,
+            cancel: Cancel::Stops,
+            neighbours: 0,
+            steal: 0.0,
             troubles: Vec::new(),
         }
     }
@@ -341,7 +429,7 @@
         // One of each family, in any order, at times that let them overlap.
         let families: [&[Kind]; 5] = [
             &[Kind::Kill, Kind::LoneHost, Kind::Hang, Kind::Slow, Kind::FastErrors],
-            &[Kind::Cut, Kind::CutList, Kind::CutHosts, Kind::SlowLink, Kind::SlowConnects],
+            &[Kind::Cut, Kind::CutList, Kind::CutHosts, Kind::SlowLink, Kind::LossyLinks, Kind::SlowConnects],
             &[Kind::StalledDesk, Kind::LateDesk, Kind::RefusingDesk, Kind::LateList, Kind::ListBreaks],
             &[Kind::Shift, Kind::Worthless, Kind::GiveUp, Kind::RepeatStorm, Kind::SlowOp, Kind::HotKey],
             &[Kind::RouterKill, Kind::RouterRoll],
@@ -378,6 +466,49 @@
         day
     }
 
+    /// Any troubles, up to five, of any size and at any time, several at once; hosts with caches, neighbours and
+    /// queues that thrash, and clients that burst, each on some days.
+    pub fn drawn(seed: u64, length: Micros) -> Scenario {
+        let mut rng = StdRng::seed_from_u64(seed ^ 0xd4a3);
+        let mut day = Scenario { name: "drawn".into(), ..Scenario::plain(seed, length) };
+        let some = |rng: &mut StdRng, part: f64| rng.random_bool(part);
+        if some(&mut rng, 0.25) {
+            day.burst = rng.random_range(0.3..1.5);
+        }
+        if some(&mut rng, 0.25) {
+            day.cache_keys = (day.keys / u64::from(day.hosts) * 4).max(8) as u32;
+            day.miss_cost = rng.random_range(1.2..2.5);
+        }
+        if some(&mut rng, 0.25) {
+            day.thrash = rng.random_range(0.02..0.1);
+        }
+        if some(&mut rng, 0.25) {
+            (day.neighbours, day.steal) = (rng.random_range(2..5), rng.random_range(0.1..0.6));
+        }
+        day.cancel = [Cancel::Stops, Cancel::Waiting, Cancel::Ignored][rng.random_range(0..3)];
+        day.key_skew = rng.random_range(0.3..1.1);
+        let mut offered = rng.random_range(length / 20..length / 4);
+        for number in 2..2 + rng.random_range(0..3) {
+            let flaw = if some(&mut rng, 0.4) { draw_flaw(&mut rng) } else { Flaw::None };
+            day.builds.push(Build { number, offered, flaw, speed: rng.random_range(0.85..1.2) });
+            offered += rng.random_range(length / 8..length / 2);
+        }
+        for _ in 0..rng.random_range(0..6) {
+            let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len() - 3)];
+            let usual = usual(kind);
+            let times = |rng: &mut StdRng| rng.random_range(0.3..1.7);
+            day.troubles.push(Trouble {
+                kind,
+                at: rng.random_range(0..length * 9 / 10),
+                lasts: (usual.lasts as f64 * times(&mut rng)) as Micros,
+                part: (usual.part * times(&mut rng)).min(1.0),
+                size: usual.size * times(&mut rng),
+            });
+        }
+        day.troubles.sort_by_key(|t| t.at);
+        day
+    }
+
     pub fn cap(&self, stage: usize) -> f64 {
         (self.stage_shares[stage] * self.slack).min(1.0)
     }
--- a/crates/spokeflow-standin/src/day.rs
+++ b/crates/spokeflow-standin/src/day.rs
@@ -10,24 +10,24 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::sleep;
 
-use crate::check::{check, Broken, RuleTerms};
-use crate::clients::{Crowd, Door, Doors, Outcome};
-use crate::desk::{Desk, Order};
-use crate::host::{Ailment, Host};
+use spokeflow_scenario::board::{Board, Entry};
+use spokeflow_scenario::desk::{Desk, Order};
+use spokeflow_scenario::host::{Ailment, Host};
+use spokeflow_scenario::report::{Outcome, Record, Report};
+use spokeflow_scenario::scenario::{Build, Flaw, Kind, Scenario, Trouble};
+use spokeflow_scenario::seen::{Phase, Process, Seen};
+
+use crate::clients::{Crowd, Door, Doors};
 use crate::hosts::{self, HostProcess, HostSeat, World};
-use crate::office::{Board, Entry, Office};
+use crate::office::Office;
 use crate::routers::{flags, RouterProcess, Starting};
-use crate::scenario::{Build, Flaw, Kind, Scenario, Trouble};
-use crate::tap::{Phase, Process, Seen};
 use crate::{Micros, MS, SECOND};
 
 pub struct Played {
     pub day: Scenario,
     pub seen: Vec<(Micros, Seen)>,
     pub outcomes: Vec<Outcome>,
-    pub broken: Vec<Broken>,
-    /// What went wrong with the play itself: a router that did not start or end as it should.
-    pub faults: Vec<String>,
+    pub report: Report,
 }
 
 /// A host of the fleet, whether or not a process of it runs.
@@ -68,6 +68,9 @@
     starting: Starting,
     mut progress: impl FnMut(Micros),
 ) -> Result<Played, String> {
+    if day.tells {
+        return Err("routers that tell each other are played in simulated time only".into());
+    }
     let world = World::new(day.clone());
     let office = Arc::new(Office {
         world: world.clone(),
@@ -145,14 +148,12 @@
                 stage.begin(*n, *trouble, now);
             }
         }
-        troubles.retain(|(n, trouble, begun)| {
-            let over = *begun && now - start >= trouble.at + trouble.lasts;
-            if over {
-                world.tap.note(Seen::Trouble { what: format!("ends: {}", trouble.kind.name()) });
-                stage.end(*n, *trouble);
-            }
-            !over
-        });
+        let over: Vec<_> = troubles.extract_if(.., |t| t.2 && now - start >= t.1.at + t.1.lasts).collect();
+        for (n, trouble, _) in over {
+            world.tap.note(Seen::Trouble { what: format!("ends: {}", trouble.kind.name()) });
+            let others: Vec<(usize, Trouble)> = troubles.iter().filter(|t| t.2).map(|t| (t.0, t.1)).collect();
+            stage.end(n, trouble, &others);
+        }
         stage.office.board.lock().expect("no holder panics").tick(now);
         stage.drag();
         sleep(Duration::from_millis(10)).await;
@@ -168,9 +169,12 @@
         }
     }
     let (seen, outcomes) = (world.tap.take(), crowd.outcomes());
-    let broken = check(&RuleTerms::of(&day), &seen);
     let faults = std::mem::take(&mut *stage.faults.lock().expect("no holder panics"));
-    Ok(Played { day, seen, outcomes, broken, faults })
+    let mut record = Record::new(&day, start);
+    seen.iter().for_each(|(at, s)| record.see(*at, s));
+    outcomes.iter().for_each(|o| record.ended(o));
+    let report = record.finish(faults, Some(&seen));
+    Ok(Played { day, seen, outcomes, report })
 }
 
 impl Stage {
@@ -208,7 +212,7 @@
         let Some((seat, address)) = self.seats.get(&host).and_then(|s| Some((s, s.address?))) else { return };
         let entry = Entry {
             host,
-            address,
+            address: address.to_string(),
             site: seat.site,
             build: seat.build,
             phase,
@@ -305,13 +309,13 @@
     }
 
     fn begin(&mut self, n: usize, trouble: Trouble, now: Micros) {
-        let site = (n as u64 + self.world.day.seed) as u16 % self.world.day.sites;
         let seconds = (trouble.size * SECOND as f64) as Micros;
         let world = self.world.clone();
-        let mut faults = world.faults.lock().expect("no holder panics");
+        if world.faults.lock().expect("no holder panics").begin(&world.day, n, &trouble) {
+            return;
+        }
         match trouble.kind {
             Kind::Kill | Kind::LoneHost => {
-                drop(faults);
                 for (nth, host) in self.strike(n, trouble.part).into_iter().enumerate() {
                     let (incarnation, late) = (self.incarnation(host), self.late());
                     if let Some(seat) = self.seats.get_mut(&host) {
@@ -323,42 +327,21 @@
                 }
             }
             Kind::Hang => {
-                drop(faults);
                 let struck = self.strike(n, trouble.part);
                 self.ail(&struck, |a| a.hangs = true);
             }
             Kind::Slow => {
-                drop(faults);
                 let struck = self.strike(n, trouble.part);
                 self.ail(&struck, |a| a.slower = trouble.size.max(1.0));
             }
             Kind::FastErrors => {
-                drop(faults);
                 let struck = self.strike(n, trouble.part);
                 self.ail(&struck, |a| a.fails = trouble.size);
             }
             Kind::SlowOp => {
-                drop(faults);
                 self.ail(&self.all_hosts(), |a| a.slow_op = (0, trouble.size.max(1.0)));
             }
-            Kind::Cut => (faults.cut_hosts, faults.cut_office) = (Some(site), Some(site)),
-            // The list's own site cut off leaves every other router without news.
-            Kind::CutList => faults.cut_office = Some(0),
-            Kind::CutHosts => faults.cut_hosts = Some(site),
-            Kind::SlowLink => faults.slow_link = Some((site, seconds)),
-            Kind::SlowConnects => faults.slow_connects = seconds,
-            Kind::StalledDesk => faults.stalled_desk = true,
-            Kind::RefusingDesk => faults.refusing_desk = true,
-            Kind::LateDesk => faults.late_desk = seconds,
-            Kind::LateList => faults.late_list = seconds,
-            Kind::ListBreaks => faults.list_breaks = true,
-            Kind::Shift => faults.shift = trouble.size.clamp(0.0, 1.0),
-            Kind::Worthless => faults.worthless = trouble.size,
-            Kind::GiveUp => faults.give_up = trouble.size.clamp(0.0, 1.0),
-            Kind::RepeatStorm => faults.repeats = trouble.size,
-            Kind::HotKey => faults.hot_key = trouble.size.clamp(0.0, 1.0),
             Kind::RouterKill | Kind::RouterRoll => {
-                drop(faults);
                 let mut all: Vec<u32> = (0..self.world.day.routers).collect();
                 all.shuffle(&mut self.rng);
                 all.truncate(((all.len() as f64 * trouble.part).round() as usize).max(1));
@@ -367,36 +350,21 @@
                 let apart = if hard { 0 } else { trouble.lasts / all.len() as Micros };
                 tokio::spawn(self.restarting().run(all, hard, down, apart));
             }
-            Kind::BadBuild | Kind::TakeBack | Kind::None => {}
+            _ => {}
         }
     }
 
-    fn end(&mut self, n: usize, trouble: Trouble) {
+    /// `others`: troubles that still last.
+    fn end(&mut self, n: usize, trouble: Trouble, others: &[(usize, Trouble)]) {
         let struck = self.struck.remove(&n).unwrap_or_default();
         let world = self.world.clone();
-        let mut faults = world.faults.lock().expect("no holder panics");
+        world.faults.lock().expect("no holder panics").end(&world.day, &trouble, others);
         match trouble.kind {
             Kind::Hang => self.ail(&struck, |a| a.hangs = false),
             Kind::Slow => self.ail(&struck, |a| a.slower = 1.0),
             Kind::FastErrors => self.ail(&struck, |a| a.fails = 0.0),
             Kind::SlowOp => self.ail(&self.all_hosts(), |a| a.slow_op = (usize::MAX, 1.0)),
-            Kind::Cut => (faults.cut_hosts, faults.cut_office) = (None, None),
-            Kind::CutList => faults.cut_office = None,
-            Kind::CutHosts => faults.cut_hosts = None,
-            Kind::SlowLink => faults.slow_link = None,
-            Kind::SlowConnects => faults.slow_connects = 0,
-            Kind::StalledDesk => faults.stalled_desk = false,
-            Kind::RefusingDesk => faults.refusing_desk = false,
-            Kind::LateDesk => faults.late_desk = 0,
-            Kind::LateList => faults.late_list = 0,
-            Kind::ListBreaks => faults.list_breaks = false,
-            Kind::Shift => faults.shift = 0.0,
-            Kind::Worthless => faults.worthless = 0.0,
-            Kind::GiveUp => faults.give_up = 0.0,
-            Kind::RepeatStorm => faults.repeats = 0.0,
-            Kind::HotKey => faults.hot_key = 0.0,
-            Kind::Kill | Kind::LoneHost | Kind::RouterKill | Kind::RouterRoll => {}
-            Kind::BadBuild | Kind::TakeBack | Kind::None => {}
+            _ => {}
         }
     }
 
--- a/crates/spokeflow-standin/src/hosts.rs
+++ b/crates/spokeflow-standin/src/hosts.rs
@@ -15,35 +15,14 @@
 use tokio::time::{sleep, sleep_until, Instant};
 use tokio_util::codec::Framed;
 
-use crate::host::{Done, Host, Job, Marks};
-use crate::scenario::Scenario;
-use crate::tap::{Process, ReplyKind, Seen, Tap};
-use crate::{Micros, MS};
+use rand::RngExt;
+use spokeflow_scenario::faults::{Faults, Way, RESENT_AFTER};
+use spokeflow_scenario::host::{Done, Host, Job, Marks};
+use spokeflow_scenario::scenario::Scenario;
+use spokeflow_scenario::seen::{Process, ReplyKind, Seen};
 
-/// Which links a cut or a slow way concerns.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Way {
-    Hosts,
-    Office,
-}
-
-#[derive(Clone, Debug, Default)]
-pub struct Faults {
-    pub cut_hosts: Option<u16>,
-    pub cut_office: Option<u16>,
-    pub slow_link: Option<(u16, Micros)>,
-    pub slow_connects: Micros,
-    pub stalled_desk: bool,
-    pub refusing_desk: bool,
-    pub late_desk: Micros,
-    pub late_list: Micros,
-    pub list_breaks: bool,
-    pub shift: f64,
-    pub worthless: f64,
-    pub give_up: f64,
-    pub repeats: f64,
-    pub hot_key: f64,
-}
+use crate::tap::Tap;
+use crate::Micros;
 
 /// What all stand-ins of a day share.
 pub struct World {
@@ -79,13 +58,17 @@
 
     /// The delay one way, or `None` while the sites are cut from each other.
     pub fn way(&self, a: u16, b: u16, way: Way) -> Option<Micros> {
-        let faults = self.faults.lock().expect("no holder panics");
-        let cut = if way == Way::Hosts { faults.cut_hosts } else { faults.cut_office };
-        if a != b && cut.is_some_and(|site| site == a || site == b) {
-            return None;
+        self.faults.lock().expect("no holder panics").way(a, b, way)
+    }
+
+    /// What a lost packet adds to the delay: it is sent again after a while, and may be lost again.
+    fn resent(&self, a: u16, b: u16) -> Micros {
+        let loss = self.faults.lock().expect("no holder panics").loss;
+        let mut late = 0;
+        while a != b && loss > 0.0 && late < 8 * RESENT_AFTER && rand::rng().random_bool(loss) {
+            late += RESENT_AFTER.max(late);
         }
-        let slow = faults.slow_link.filter(|(site, _)| a != b && (*site == a || *site == b));
-        Some(if a == b { 0 } else { 2 * MS } + slow.map_or(0, |s| s.1))
+        late
     }
 
     /// Passes on what is sent, in order, after the way's delay; what meets a cut waits for its end, as bytes on
@@ -109,6 +92,7 @@
         let world = self.clone();
         tokio::spawn(async move {
             while let Some((at, message)) = inlet.recv().await {
+                let at = at + Duration::from_micros(world.resent(a, b) as u64);
                 loop {
                     match world.way(a, b, way) {
                         Some(0) => break,
@@ -332,11 +316,11 @@
     fn arrived(&self, conn: u64, message: ToHost) {
         let now = self.world.tap.now();
         match message {
-            ToHost::Deliver { delivery, op, mark, left_us, body, .. } => {
+            ToHost::Deliver { delivery, op, key, mark, left_us, body, .. } => {
                 let (tried, command) = read_body(&body);
                 let op = usize::from(op).min(self.world.day.ops.len() - 1);
                 let expires = now + left_us.min(1 << 40) as Micros;
-                let job = Job { from: conn, delivery, tried, command, op, mark, expires };
+                let job = Job { from: conn, delivery, tried, command, op, key, mark, expires };
                 let taken = self.model.lock().expect("no holder panics").arrive(now, job);
                 if !taken {
                     self.reply(conn, FromHost::Full { delivery }, tried);
--- a/crates/spokeflow-standin/src/main.rs
+++ b/crates/spokeflow-standin/src/main.rs
@@ -6,9 +6,9 @@
 use spokeflow_router::{main_with, RouterProgram};
 use spokeflow_standin::day::play;
 use spokeflow_standin::load::{pass_through, put, Load};
-use spokeflow_standin::report::Report;
 use spokeflow_standin::routers::Starting;
-use spokeflow_standin::scenario::{Kind, Scenario, Trouble};
+use spokeflow_standin::scenario::flags::DayFlags;
+use spokeflow_standin::scenario::scenario::Kind;
 use spokeflow_standin::{Micros, SECOND};
 
 /// Stand-ins for what surrounds the routers, and days to try real routers on.
@@ -23,7 +23,7 @@
 enum What {
     /// Plays a day on loopback sockets with real router processes and checks the five rules. Exit code 0: all
     /// kept; 1: one broken; 2: wrong use
-    Day(Box<DayFlags>),
+    Day(Box<PlayFlags>),
     /// The kinds of trouble, one a line
     Troubles,
     /// Puts an open loop of commands on one router, beside a plain pass-through on the same codec in turn, and
@@ -75,20 +75,9 @@
 }
 
 #[derive(Args)]
-struct DayFlags {
-    /// Draws the day
-    #[arg(long, env = "SPOKEFLOW_DAY_SEED", default_value_t = 1)]
-    seed: u64,
-    /// Seconds in which commands are sent
-    #[arg(long, env = "SPOKEFLOW_DAY_SECONDS", default_value_t = 60)]
-    seconds: u64,
-    /// One kind of trouble alone, with a good build on trial; bad-build: a bad one and nothing else
-    #[arg(long, env = "SPOKEFLOW_DAY_ONLY")]
-    only: Option<Kind>,
-    /// In place of the drawn troubles: KIND:at=TIME[:lasts=TIME][:part=NUMBER][:size=NUMBER], repeated or split
-    /// by commas
-    #[arg(long, env = "SPOKEFLOW_DAY_SCRIPT", value_delimiter = ',')]
-    script: Vec<Trouble>,
+struct PlayFlags {
+    #[command(flatten)]
+    day: DayFlags,
     /// Prints the report as JSON
     #[arg(long)]
     json: bool,
@@ -185,19 +174,8 @@
     Ok(())
 }
 
-fn day(flags: &DayFlags) -> Result<bool, String> {
-    if flags.seconds < 5 {
-        return Err("--seconds: at least 5".into());
-    }
-    let length = flags.seconds as Micros * SECOND;
-    let mut scenario = match flags.only {
-        Some(kind) => Scenario::only(kind, flags.seed, length),
-        None => Scenario::bad_day(flags.seed, length),
-    };
-    if !flags.script.is_empty() {
-        scenario.name = "script".into();
-        scenario.troubles.clone_from(&flags.script);
-    }
+fn day(flags: &PlayFlags) -> Result<bool, String> {
+    let scenario = flags.day.day()?;
     let mut starting = Starting::own().map_err(|e| e.to_string())?;
     if let Some(folder) = &flags.logs {
         std::fs::create_dir_all(folder).map_err(|e| format!("--logs {}: {e}", folder.display()))?;
@@ -208,7 +186,7 @@
     let runtime = runtime.map_err(|e| e.to_string())?;
     let shown = std::io::stderr().is_terminal();
     let progress = |at: Micros| {
-        let (at, of) = (at / SECOND, flags.seconds);
+        let (at, of) = (at / SECOND, flags.day.seconds);
         if shown {
             eprint!("\r{at} s of {of} s and the last answers ");
         } else if at % 10 == 0 {
@@ -227,9 +205,9 @@
             writeln!(out, "{line}").map_err(fault)?;
         }
     }
-    let report = Report::of(&played);
+    let report = &played.report;
     if flags.json {
-        println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
+        println!("{}", serde_json::to_string_pretty(report).map_err(|e| e.to_string())?);
     } else {
         print!("{}", report.text());
     }
--- a/crates/spokeflow-standin/src/office.rs
+++ b/crates/spokeflow-standin/src/office.rs
@@ -1,6 +1,6 @@
 //! The host list and the release desk on loopback sockets, late, stalled, refusing or broken off as the day says.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,66 +15,16 @@
 use tokio::time::interval;
 use tokio_util::codec::Framed;
 
-use crate::desk::{Counted, Desk, State, Verdict};
-use crate::hosts::{Way, World};
-use crate::tap::{Phase, Process, Seen, Standing};
+use spokeflow_scenario::board::{Board, Entry};
+use spokeflow_scenario::desk::{Counted, Desk, State, Verdict};
+use spokeflow_scenario::faults::{Way, OFFICE_SITE};
+use spokeflow_scenario::seen::{Phase, Process, Seen, Standing};
+
+use crate::hosts::World;
 use crate::Micros;
 
-/// The site that list and desk stand in.
-pub const OFFICE_SITE: u16 = 0;
 const TICK: Duration = Duration::from_millis(10);
 
-#[derive(Clone, Debug)]
-pub struct Entry {
-    pub host: u32,
-    pub address: SocketAddr,
-    pub site: u16,
-    pub build: u16,
-    pub phase: Phase,
-    pub incarnation: u64,
-    pub started: Option<Micros>,
-}
-
-/// What the list knows, and what it will learn.
-#[derive(Default)]
-pub struct Board {
-    entries: BTreeMap<u32, Entry>,
-    version: u64,
-    log: Vec<(u64, u32)>,
-    coming: Vec<(Micros, Entry)>,
-}
-
-impl Board {
-    pub fn know_at(&mut self, at: Micros, entry: Entry) {
-        // What is learned of one host is learned in order.
-        let before = self.coming.iter().filter(|c| c.1.host == entry.host).map(|c| c.0).max();
-        self.coming.push((at.max(before.unwrap_or(at) + 1), entry));
-    }
-
-    pub fn tick(&mut self, now: Micros) {
-        let mut due: Vec<_> = self.coming.extract_if(.., |c| c.0 <= now).collect();
-        due.sort_by_key(|c| c.0);
-        for (_, entry) in due {
-            self.version += 1;
-            self.log.push((self.version, entry.host));
-            self.entries.insert(entry.host, entry);
-        }
-    }
-
-    fn since(&self, have: Option<u64>) -> (bool, Vec<&Entry>) {
-        match have.filter(|v| *v <= self.version) {
-            None => (true, self.entries.values().filter(|e| e.phase != Phase::Gone).collect()),
-            Some(v) => {
-                let from = self.log.partition_point(|l| l.0 <= v);
-                let mut hosts: Vec<u32> = self.log[from..].iter().map(|l| l.1).collect();
-                hosts.sort_unstable();
-                hosts.dedup();
-                (false, hosts.iter().filter_map(|h| self.entries.get(h)).collect())
-            }
-        }
-    }
-}
-
 pub struct Office {
     pub world: Arc<World>,
     pub board: Mutex<Board>,
@@ -122,7 +72,7 @@
                     Some(Ok(ToList::Watch { have })) => {
                         let board = self.board.lock().expect("no holder panics");
                         let _ = send.send(self.message(&board, have));
-                        watched = Some(board.version);
+                        watched = Some(board.version());
                     }
                     Some(Ok(ToList::Fetch)) => {
                         let board = self.board.lock().expect("no holder panics");
@@ -141,9 +91,9 @@
                         return;
                     }
                     let board = self.board.lock().expect("no holder panics");
-                    if watched.is_some_and(|v| v < board.version) {
+                    if watched.is_some_and(|v| v < board.version()) {
                         let _ = send.send(self.message(&board, watched));
-                        watched = Some(board.version);
+                        watched = Some(board.version());
                     }
                 }
             }
@@ -155,7 +105,7 @@
         let (whole, entries) = board.since(have);
         let line = |e: &&Entry| Line {
             host: e.host,
-            address: e.address.to_string(),
+            address: e.address.clone(),
             build: Some(e.build),
             cell: 0,
             zone: e.site,
@@ -167,7 +117,7 @@
             incarnation: e.incarnation,
             up_us: e.started.map(|at| (now - at).max(0) as u64),
         };
-        let (version, lines) = (board.version, entries.iter().map(line).collect());
+        let (version, lines) = (board.version(), entries.iter().map(line).collect());
         if whole {
             FromList::Whole { version, lines }
         } else {
--- a/crates/spokeflow-standin/src/routers.rs
+++ b/crates/spokeflow-standin/src/routers.rs
@@ -13,7 +13,8 @@
 
 use spokeflow_router::{op_flag, NamedOp};
 
-use crate::scenario::{Gate, Repeat, Scenario};
+use spokeflow_scenario::scenario::{Gate, Repeat, Scenario};
+
 use crate::Micros;
 
 pub struct RouterProcess {
--- a/crates/spokeflow-standin/tests/days.rs
+++ b/crates/spokeflow-standin/tests/days.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 
 use spokeflow_standin::day::{play, Played};
-use spokeflow_standin::report::Report;
 use spokeflow_standin::routers::Starting;
-use spokeflow_standin::scenario::{Flaw, Kind, Scenario};
-use spokeflow_standin::tap::Seen;
+use spokeflow_standin::scenario::scenario::{Flaw, Kind, Scenario};
+use spokeflow_standin::scenario::seen::Seen;
 use spokeflow_standin::{Micros, SECOND};
 
 fn starting() -> Starting {
@@ -28,7 +27,7 @@
 }
 
 fn sound(played: &Played) {
-    let report = Report::of(played);
+    let report = &played.report;
     assert!(report.sound(), "{}", report.text());
     // A day on which nothing crossed the sockets would keep every rule.
     assert!(report.commands > 200 && report.acked * 2 > report.commands, "{}", report.text());
@@ -75,7 +74,7 @@
         vec![bad, short(Scenario::bad_day(15, 12 * SECOND)), short(Scenario::bad_day(16, 12 * SECOND))];
     let played = play_all(days);
     played.iter().for_each(sound);
-    let report = Report::of(&played[0]);
+    let report = &played[0].report;
     assert!(report.builds[0].end.starts_with("sent back"), "{}", report.text());
 }
 
