--- /dev/null
+++ b/crates/spokeflow-emulator/tests/kept.rs
@@ -0,0 +1,53 @@
+//! Days that once broke a rule, as the hunt shrunk them: flags of `spokeflow-lab run`, with what was wrong.
+
+use clap::Parser;
+use spokeflow_emulator::{play, Who};
+use spokeflow_scenario::flags::DayFlags;
+
+#[derive(Parser)]
+struct Day {
+    #[command(flatten)]
+    day: DayFlags,
+}
+
+/// The rules hold on it now.
+fn sound(flags: &str) {
+    let words = std::iter::once("day").chain(flags.split_whitespace());
+    let day = Day::parse_from(words).day.day().unwrap();
+    let report = play(&day, Who::Engine, true).report;
+    assert!(report.sound() && report.acked > 200, "{}", report.text());
+}
+
+/// Rule 2: a cancelled delivery, held by the cut with its cancel, ran when the cut ended, after hosts had
+/// forgotten the mark: the router did not watch a way on which only cancelled deliveries were.
+#[test]
+fn what_is_cancelled_in_a_cut_does_not_run_after_its_mark_is_forgotten() {
+    for seed in 1..9 {
+        let script = "--script give-up:at=4s:lasts=12s:size=0.25 --script cut:at=5s:lasts=9s:part=0:size=0";
+        sound(&format!(
+            "--scenario plain --bare --seed {seed} --seconds 24 --size middle --rate 120 --cancel ignored {script}"
+        ));
+    }
+}
+
+/// Rule 5, a fault of the checker: what a build still answered after it was sent back bound its keys.
+#[test]
+fn a_build_that_was_sent_back_binds_no_key() {
+    sound(
+        "--scenario plain --bare --seed 153 --seconds 42 --build 2:at=5.855871s:flaw=shared:size=2.192528735112668:\
+         speed=1.0013605034474453 --build 3:at=32.446658s:flaw=none:size=0:speed=0.9768104968406618 --cache-keys \
+         160 --miss-cost 2.345324028986015 --key-skew 0.8771023303906689",
+    );
+}
+
+/// Rule 5, a fault of the checker: a router that has just started goes by stage 0 until its first news.
+#[test]
+fn a_router_that_starts_while_a_build_goes_back_has_the_grace() {
+    sound(
+        "--scenario plain --bare --seed 458 --seconds 49 --build 2:at=14.454832s:flaw=none:size=0:\
+         speed=1.1505523165833431 --build 3:at=39.183234s:flaw=none:size=0:speed=0.9981371761213105 --script \
+         lone-host:at=30.133243s:lasts=1.979752s:part=0.7465791684725858:size=0.30486209595328767 --script \
+         router-roll:at=32.709262s:lasts=6.50259s:part=0.9097464647513571:size=0.6362775991869158 --key-skew \
+         1.0549213174437144 --cancel waiting",
+    );
+}
