--- a/crates/spokeflow-lab/src/lib.rs
+++ b/crates/spokeflow-lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! The lab: many days in simulated time, kept in a store, as tables and as charts.
 
+pub mod agree;
 pub mod charts;
 pub mod compare;
 pub mod hunt;
--- a/crates/spokeflow-lab/src/main.rs
+++ b/crates/spokeflow-lab/src/main.rs
@@ -3,14 +3,15 @@
 
 use clap::{Args, Parser, Subcommand};
 use spokeflow_emulator::{play, Who};
-use spokeflow_lab::plan::{MatrixFlags, Seeds, Terms};
+use spokeflow_lab::plan::{MatrixFlags, Seeds, Terms, Which};
 use spokeflow_lab::store::{Store, Stored};
-use spokeflow_lab::{charts, compare, hunt, sweep, tables};
+use spokeflow_lab::{agree, charts, compare, hunt, sweep, tables};
 use spokeflow_router::{main_with, RouterProgram};
 use spokeflow_scenario::flags::{DayFlags, SizeFlags};
 use spokeflow_scenario::scenario::{Scenario, Size};
 use spokeflow_scenario::{Micros, SECOND};
 use spokeflow_standin::load::{load, pass_through, LoadFlags};
+use spokeflow_standin::routers::Starting;
 
 /// Days in simulated time: one, many, two ways compared, the worst ones found; and loads on a real router
 #[derive(Parser)]
@@ -32,6 +33,8 @@
     Compare(Box<CompareFlags>),
     /// Draws days, keeps those that break a rule or lose most against full sight, and shrinks them
     Hunt(Box<HuntFlags>),
+    /// Plays the same days on sockets, with real routers, and in simulated time, and says how far both agree
+    Agree(Box<AgreeFlags>),
     /// Tables and charts of a store
     Report(ReportFlags),
     /// Puts an open loop of commands on a real router, beside a plain pass-through in turn
@@ -148,6 +151,22 @@
     jobs: Option<usize>,
 }
 
+#[derive(Args)]
+struct AgreeFlags {
+    /// Days: plain, bad-day, drawn or only:KIND, split by commas
+    #[arg(long = "days", env = "SPOKEFLOW_LAB_DAYS", value_delimiter = ',', default_value = "bad-day")]
+    days: Vec<Which>,
+    /// Seeds of each: one, or FIRST-LAST
+    #[arg(long, env = "SPOKEFLOW_LAB_SEEDS", default_value = "1-3")]
+    seeds: Seeds,
+    /// Seconds in which commands are sent
+    #[arg(long, env = "SPOKEFLOW_LAB_SECONDS", default_value_t = 40)]
+    seconds: u64,
+    /// Days played on sockets at a time
+    #[arg(long, default_value_t = 3)]
+    beside: usize,
+}
+
 #[derive(Args)]
 struct ReportFlags {
     /// The results
@@ -174,6 +193,7 @@
         What::Sweep(flags) => sweep_days(&flags),
         What::Compare(flags) => compare_days(&flags).map(|()| true),
         What::Hunt(flags) => hunt_days(&flags),
+        What::Agree(flags) => agree_days(&flags).map(|()| true),
         What::Report(flags) => report(&flags).map(|()| true),
         What::Load(flags) => load(&flags).map(|()| true),
         What::Pass { host } => {
@@ -316,6 +336,42 @@
     Ok(broken == 0)
 }
 
+fn agree_days(flags: &AgreeFlags) -> Result<(), String> {
+    if flags.seconds < 5 || flags.beside == 0 {
+        return Err("--seconds: at least 5; --beside: at least 1".into());
+    }
+    let length = flags.seconds as Micros * SECOND;
+    let seeds = flags.seeds.0..=flags.seeds.1;
+    let days: Vec<Scenario> =
+        flags.days.iter().flat_map(|w| seeds.clone().map(|seed| w.day(seed, length))).collect();
+    let starting = Starting::own().map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let mut rows = Vec::new();
+    for some in days.chunks(flags.beside) {
+        let on_sockets = runtime.block_on(async {
+            let all = some
+                .iter()
+                .map(|day| tokio::spawn(spokeflow_standin::day::play(day.clone(), starting.clone(), |_| {})));
+            let mut played = Vec::new();
+            for day in all.collect::<Vec<_>>() {
+                played.push(day.await.map_err(|e| e.to_string()).and_then(|p| p));
+            }
+            played
+        });
+        for (day, played) in some.iter().zip(on_sockets) {
+            eprintln!("{} seed {}", day.name, day.seed);
+            rows.push(agree::Pair {
+                sockets: played?.report,
+                simulated: play(day, Who::Engine, false).report,
+            });
+        }
+    }
+    print!("{}", tables::text(&agree::HEAD, &agree::rows(&rows)));
+    runtime.shutdown_background();
+    Ok(())
+}
+
 fn report(flags: &ReportFlags) -> Result<(), String> {
     if !flags.store.exists() {
         return Err(format!("--store {}: there is none", flags.store.display()));
--- a/crates/spokeflow-lab/src/plan.rs
+++ b/crates/spokeflow-lab/src/plan.rs
@@ -38,6 +38,17 @@
     }
 }
 
+impl Which {
+    pub fn day(self, seed: u64, length: Micros) -> Scenario {
+        match self {
+            Which::Only(kind) => Scenario::only(kind, seed, length),
+            Which::Built(Built::Plain) => Scenario::plain(seed, length),
+            Which::Built(Built::BadDay) => Scenario::bad_day(seed, length),
+            Which::Built(Built::Drawn) => Scenario::drawn(seed, length),
+        }
+    }
+}
+
 /// Seeds as `7` or `1-20`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Seeds(pub u64, pub u64);
@@ -175,12 +186,7 @@
             for size in &self.sizes {
                 for terms in &self.terms {
                     for seed in &seeds {
-                        let mut scenario = match which {
-                            Which::Only(kind) => Scenario::only(*kind, *seed, length),
-                            Which::Built(Built::Plain) => Scenario::plain(*seed, length),
-                            Which::Built(Built::BadDay) => Scenario::bad_day(*seed, length),
-                            Which::Built(Built::Drawn) => Scenario::drawn(*seed, length),
-                        };
+                        let mut scenario = which.day(*seed, length);
                         let sized =
                             SizeFlags { size: Some(*size), majority: self.majority, ..SizeFlags::default() };
                         scenario = sized.apply(scenario)?;
--- a/crates/spokeflow-lab/src/sweep.rs
+++ b/crates/spokeflow-lab/src/sweep.rs
@@ -29,6 +29,9 @@
             missing.push(n);
         }
     }
+    if missing.len() < cells.len() {
+        eprintln!("{} of {} days are in the store", cells.len() - missing.len(), cells.len());
+    }
     let bar = ProgressBar::new(cells.len() as u64);
     if let Ok(style) =
         ProgressStyle::with_template("{pos} of {len} days, {elapsed} gone, {eta} left {wide_msg}")
