--- a/crates/spokeflow-emulator/src/plain.rs
+++ b/crates/spokeflow-emulator/src/plain.rs
@@ -147,7 +147,10 @@
                     sound.then_some(wait + 4e6 * look.fails + if bad { 2e6 } else { 0.0 })
                 };
                 let best = pool.iter().filter_map(|h| Some((weigh(h)?, *h)));
-                best.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|b| b.1)
+                let best = best.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+                // What would be late anyway is refused, so that it does not make others late.
+                let target = self.terms.service.ops[op].service_target as f64;
+                best.filter(|b| !tried.is_empty() || floor.is_some() || b.0 <= target).map(|b| b.1)
             }
             _ => Some(pool[self.chance.below(pool.len())]),
         }
--- a/crates/spokeflow-lab/src/charts.rs
+++ b/crates/spokeflow-lab/src/charts.rs
@@ -71,11 +71,10 @@
     fn paint<B: DrawingBackend>(&self, area: &DrawingArea<B, Shift>) -> Result<(), String> {
         let whole = |e: DrawingAreaErrorKind<B::ErrorType>| e.to_string();
         area.fill(&WHITE).map_err(whole)?;
-        let label = |g: &Group| {
-            let extra: Vec<&str> =
-                [&g.name[1], &g.name[2]].into_iter().filter(|t| *t != "usual").map(|t| t.as_str()).collect();
-            format!("{} {}", g.name[0], extra.join(" "))
-        };
+        // Size and terms are named where there are several.
+        let several = |n: usize| self.groups.iter().any(|g| g.name[n] != self.groups[0].name[n]);
+        let shown: Vec<usize> = [0, 1, 2].into_iter().filter(|n| *n == 0 || several(*n)).collect();
+        let label = |g: &Group| shown.iter().map(|n| g.name[*n].as_str()).collect::<Vec<_>>().join(" ");
         let mut days: Vec<String> = self.groups.iter().map(label).collect();
         days.dedup();
         let mut who: Vec<&str> = self.groups.iter().map(|g| g.name[3].as_str()).collect();
@@ -137,7 +136,7 @@
     if groups.is_empty() {
         return Ok(());
     }
-    let width = (groups.len() as u32 * 24).clamp(SIZE.0, 2400);
+    let width = (groups.len() as u32 * 32).clamp(SIZE.0, 2400);
     both(folder, name, (width, SIZE.1), |paint| paint(&mut Services { groups }))
 }
 
