A silent way is no crash of its host: cuts no longer send good builds back

Cause, seen in the lab: connections that the router drops for their silence were told to the module as resets; many at once read as crashes of the build on trial. Change: such ends are told as time-outs, which may have run and say nothing of the host's process.

--- a/crates/spokeflow-emulator/src/plain.rs
+++ b/crates/spokeflow-emulator/src/plain.rs
@@ -324,7 +324,7 @@
                 _ => {}
             },
             Input::NotDelivered { delivery, end, .. } => {
-                self.ended(delivery, end == NoAnswer::Reset, wiring);
+                self.ended(delivery, matches!(end, NoAnswer::Reset | NoAnswer::Silent), wiring);
             }
             Input::FromList(FromList::Whole { version, lines }) => {
                 self.version = Some(version);
--- a/crates/spokeflow-emulator/src/world.rs
+++ b/crates/spokeflow-emulator/src/world.rs
@@ -788,11 +788,11 @@
         self.give(by, Input::FromHost { host, message });
     }
 
-    fn broken(&mut self, pair: usize) {
+    fn broken(&mut self, pair: usize, end: NoAnswer) {
         let drawn = self.rng.random_range(0.5..1.0);
         let (unsent, sent) = self.pairs[pair].broken(self.now, drawn);
         self.lose(pair, unsent.into_iter().map(|w| w.delivery), NoAnswer::NotSent);
-        self.lose(pair, sent, NoAnswer::Reset);
+        self.lose(pair, sent, end);
     }
 
     fn silence(&mut self, pair: usize, epoch: u32) {
@@ -809,7 +809,7 @@
             return self.plan_at(until, What::Silence { pair, epoch });
         }
         if p.pinged {
-            return self.broken(pair);
+            return self.broken(pair, NoAnswer::Silent);
         }
         p.pinged = true;
         p.pings += 1;
@@ -870,7 +870,7 @@
         let p = &mut self.pairs[pair];
         (p.quiet_since, p.pinged) = (self.now, false);
         let (delivery, message) = match word {
-            RouterWord::Broken => return self.broken(pair),
+            RouterWord::Broken => return self.broken(pair, NoAnswer::Reset),
             RouterWord::Pong => {
                 p.pong();
                 if p.ask() {
--- a/crates/spokeflow-emulator/tests/kept.rs
+++ b/crates/spokeflow-emulator/tests/kept.rs
@@ -51,3 +51,15 @@
          1.0549213174437144 --cancel waiting",
     );
 }
+
+/// Found by a sweep (13 of 60 days): a way that a cut had silenced was told to the module as a reset of the
+/// host's process, and the many at once as crashes of the build on trial, which was voted back.
+#[test]
+fn a_cut_between_sites_sends_no_good_build_back() {
+    for seed in 1..25 {
+        let flags = format!("day --only cut --seed {seed} --seconds 60");
+        let day = Day::parse_from(flags.split_whitespace()).day.day().unwrap();
+        let report = play(&day, Who::Engine, false).report;
+        assert_eq!(report.false_backs, 0, "{}", report.text());
+    }
+}
--- a/crates/spokeflow-engine/src/engine.rs
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -111,6 +111,7 @@
                         NoAnswer::NotSent => DeliveryEnd::NotSent,
                         NoAnswer::NotConnected => DeliveryEnd::NotConnected,
                         NoAnswer::Reset => DeliveryEnd::Reset,
+                        NoAnswer::Silent => DeliveryEnd::TimedOut,
                     };
                     self.ended(delivery, end, links);
                 }
--- a/crates/spokeflow-engine/src/input.rs
+++ b/crates/spokeflow-engine/src/input.rs
@@ -57,6 +57,9 @@
     NotConnected,
     /// The connection broke after the frame had left: it may have run.
     Reset,
+    /// Nothing has come for so long that the router has dropped the connection itself: it may have run. No sign
+    /// that the host's process failed, since a way that is cut looks the same.
+    Silent,
 }
 
 const MARK: &[u8; 8] = b"SPKFREC1";
--- a/crates/spokeflow-engine/tests/engine.rs
+++ b/crates/spokeflow-engine/tests/engine.rs
@@ -39,13 +39,20 @@
     );
     assert_eq!(rig.links.sent.len(), 0);
 
+    // A way that the router has dropped for its silence proves as little.
+    rig.command(10, 3, ONCE, 1);
+    let (host, delivery) = rig.delivered();
+    rig.input(Input::NotDelivered { host, delivery, end: NoAnswer::Silent });
+    assert!(matches!(rig.answers(10)[1..], [ToClient::Failed { id: 3 }]));
+    assert_eq!(rig.links.sent.len(), 0);
+
     rig.command(10, 2, ONCE, 1);
     let (host, delivery) = rig.delivered();
     rig.input(Input::NotDelivered { host, delivery, end: NoAnswer::NotConnected });
     let (second, delivery) = rig.delivered();
     assert_ne!(host, second);
     rig.host(second, FromHost::Acked { delivery, body: Default::default() });
-    assert!(matches!(rig.answers(10)[1..], [ToClient::Acked { id: 2, .. }]));
+    assert!(matches!(rig.answers(10)[2..], [ToClient::Acked { id: 2, .. }]));
 }
 
 #[test]
--- a/crates/spokeflow-router/src/hosts.rs
+++ b/crates/spokeflow-router/src/hosts.rs
@@ -71,6 +71,8 @@
 enum Ended {
     Idle,
     Broken,
+    /// Dropped by the router, since nothing has come on it.
+    Silent,
     /// The router is ending, or the host is gone and has nothing left.
     Done,
 }
@@ -104,7 +106,7 @@
                     match self.work(&mut outgoing, reader, writer).await {
                         Ended::Idle => {}
                         Ended::Done => return,
-                        Ended::Broken => {
+                        Ended::Broken | Ended::Silent => {
                             // A host that takes connections and breaks them at once is left alone as well.
                             failures =
                                 if since.elapsed() > self.terms.longest_pause { 0 } else { failures + 1 };
@@ -271,13 +273,14 @@
                         info!(host = self.host.0, kept_back, "the way to the host is silent: connection dropped");
                     }
                     let _ = writer.as_ref().set_zero_linger();
-                    break Ended::Broken;
+                    break Ended::Silent;
                 }
             }
         };
         let left = outgoing.broken(bytes.len());
+        let end = if matches!(ended, Ended::Silent) { NoAnswer::Silent } else { NoAnswer::Reset };
         self.lost(left.unsent, NoAnswer::NotSent).await;
-        self.lost(left.sent, NoAnswer::Reset).await;
+        self.lost(left.sent, end).await;
         ended
     }
 }
--- a/crates/spokeflow-standin/src/load.rs
+++ b/crates/spokeflow-standin/src/load.rs
@@ -36,6 +36,9 @@
     pub stalled: bool,
     /// A quarter of the hosts run a build that is on trial, with cold starts and votes.
     pub trial: bool,
+    /// A fifth of the hosts at a time, each for a second in five, hangs, errs at once, resets its connections or
+    /// takes twenty times as long.
+    pub bad: bool,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -59,21 +62,43 @@
 }
 
 /// Hosts that answer everything after a fixed time.
-async fn hosts(count: u32, after: Duration) -> std::io::Result<Vec<SocketAddr>> {
+async fn hosts(count: u32, after: Duration, bad: bool) -> std::io::Result<Vec<SocketAddr>> {
     let mut addresses = Vec::new();
+    let since = bad.then(tokio::time::Instant::now);
     for host in 0..count {
         let port = TcpListener::bind("127.0.0.1:0").await?;
         addresses.push(port.local_addr()?);
         tokio::spawn(async move {
             while let Ok((stream, _)) = port.accept().await {
-                tokio::spawn(host_link(stream, host, after));
+                tokio::spawn(host_link(stream, host, after, since));
             }
         });
     }
     Ok(addresses)
 }
 
-async fn host_link(stream: TcpStream, host: u32, after: Duration) {
+/// What is wrong with a host for the moment.
+enum Ill {
+    Not,
+    Hangs,
+    Errs,
+    Resets,
+    Crawls,
+}
+
+fn ill(host: u32, since: Option<tokio::time::Instant>) -> Ill {
+    match since {
+        Some(since) if (since.elapsed().as_secs() + u64::from(host)).is_multiple_of(5) => {
+            [Ill::Hangs, Ill::Errs, Ill::Resets, Ill::Crawls]
+                .into_iter()
+                .nth(host as usize % 4)
+                .unwrap_or(Ill::Not)
+        }
+        _ => Ill::Not,
+    }
+}
+
+async fn host_link(stream: TcpStream, host: u32, after: Duration, bad: Option<tokio::time::Instant>) {
     let _ = stream.set_nodelay(true);
     let link: Framed<_, FrameCodec<ToHost, FromHost>> = Framed::new(stream, FrameCodec::new(WORK_LIMIT));
     let (mut send, mut read) = link.split();
@@ -96,7 +121,19 @@
         let now = tokio::time::Instant::now();
         let answer = match message {
             ToHost::Hello(_) => FromHost::Welcome { host, build: 1, incarnation: 1, up_us: 1 << 40 },
-            ToHost::Deliver { delivery, body, .. } => FromHost::Acked { delivery, body },
+            ToHost::Deliver { delivery, body, .. } => match ill(host, bad) {
+                Ill::Not => FromHost::Acked { delivery, body },
+                Ill::Hangs => continue,
+                Ill::Errs => FromHost::Error { delivery },
+                Ill::Resets => return,
+                Ill::Crawls => {
+                    let late = (now + 20 * after, FromHost::Acked { delivery, body });
+                    if due.send(late).is_err() {
+                        return;
+                    }
+                    continue;
+                }
+            },
             ToHost::Ping => FromHost::Pong,
             _ => continue,
         };
@@ -166,7 +203,7 @@
 /// Puts the load on and measures. Errors: something cannot be started.
 pub async fn put(load: &Load, starting: &Starting) -> Result<Measured, String> {
     let fault = |e: std::io::Error| e.to_string();
-    let addresses = hosts(load.hosts, load.answer_after).await.map_err(fault)?;
+    let addresses = hosts(load.hosts, load.answer_after, load.bad).await.map_err(fault)?;
     let mut router = if load.pass {
         let mut pass = starting.clone();
         pass.first = vec!["pass".into()];
@@ -436,6 +473,9 @@
     /// A quarter of the hosts run a build on trial
     #[arg(long)]
     pub trial: bool,
+    /// Hosts hang, err, reset or crawl in turn, a fifth of them at a time; the pass-through's stay well
+    #[arg(long)]
+    pub bad: bool,
     /// Prints one JSON value for each run
     #[arg(long)]
     pub json: bool,
@@ -463,6 +503,7 @@
             pass: run % 2 == 0,
             stalled: flags.stalled,
             trial: flags.trial,
+            bad: flags.bad && run % 2 == 1,
         };
         let m = runtime.block_on(put(&load, &starting))?;
         if flags.json {
