--- a/crates/spokeflow-lab/tests/lab.rs
+++ b/crates/spokeflow-lab/tests/lab.rs
@@ -138,3 +138,36 @@
         }
     }
 }
+
+/// The bound is wide, since sockets share a small machine with other tests; `spokeflow-lab agree` measures.
+#[test]
+fn days_on_sockets_and_in_simulated_time_agree() {
+    use spokeflow_scenario::scenario::Kind;
+    use spokeflow_standin::routers::Starting;
+    let program = env!("CARGO_BIN_EXE_spokeflow-lab").into();
+    let starting = Starting { program, first: vec!["router".into()], logs: None, log: "info".into() };
+    let days = [Kind::None, Kind::Cut, Kind::Kill].map(|kind| {
+        let mut day = Scenario::only(kind, 11, 12 * SECOND);
+        day.at_rate(30.0);
+        day
+    });
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let played = runtime.block_on(async {
+        let all =
+            days.clone().map(|day| tokio::spawn(spokeflow_standin::day::play(day, starting.clone(), |_| {})));
+        let mut played = Vec::new();
+        for day in all {
+            played.push(day.await.unwrap().unwrap().report);
+        }
+        played
+    });
+    for (day, sockets) in days.iter().zip(played) {
+        let simulated = spokeflow_emulator::play(day, spokeflow_emulator::Who::Engine, false).report;
+        assert!(sockets.sound() && simulated.sound(), "{}{}", sockets.text(), simulated.text());
+        let acked = |r: &spokeflow_scenario::report::Report| r.acked as f64 / r.commands as f64;
+        let apart =
+            (sockets.service - simulated.service).abs().max((acked(&sockets) - acked(&simulated)).abs());
+        let same_load = sockets.commands.abs_diff(simulated.commands) * 50 <= simulated.commands;
+        assert!(apart <= 0.08 && same_load, "{}{}", sockets.text(), simulated.text());
+    }
+}
