--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -538,8 +538,12 @@
 
     /// Guards against hosts that take work and answer nothing, long before their first time-out.
     fn mute(&self, h: usize) -> bool {
+        let quiet = self.now.saturating_sub(self.hosts.mute_since[h]);
+        if self.hosts.in_flight[h] == 0 || quiet <= 600 * MS {
+            return false;
+        }
         let usual = self.ops.iter().map(|o| o.usual.exp()).fold(0.0, f64::max) as Micros;
-        self.hosts.in_flight[h] > 0 && self.now - self.hosts.mute_since[h] > (6 * usual).max(600 * MS)
+        quiet > 6 * usual
     }
 
     /// A fresh host gets no more in flight than its answers have earned, and over each span of the told length
