What a host does not read fills its queue and no longer piles up beside it

Change: it takes 16 messages ahead of the connection; the rest stays in the queue, which is full for the engine then.

--- a/crates/spokeflow-engine/src/outgoing.rs
+++ b/crates/spokeflow-engine/src/outgoing.rs
@@ -149,6 +149,11 @@
         !self.waiting.is_empty()
     }
 
+    /// Messages that have not begun to leave.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     pub fn idle(&self) -> bool {
         self.waiting.is_empty() && self.leaving.is_empty() && self.out.is_empty() && self.cancelled.is_empty()
     }
--- a/crates/spokeflow-router/src/hosts.rs
+++ b/crates/spokeflow-router/src/hosts.rs
@@ -22,6 +22,9 @@
 
 /// Encoded and not yet taken by the system at most, beside what one message adds.
 const WRITE_AHEAD: usize = 16 << 10;
+/// Messages taken from the queue of `--host-queue` ahead of the connection: what a host does not read stays in
+/// that queue and fills it, and does not pile up here.
+const TAKEN_AHEAD: usize = 16;
 /// Bytes that the system queues for a host at most.
 const SYSTEM_QUEUE: u32 = 64 << 10;
 
@@ -160,7 +163,9 @@
         let (reader, writer, welcome) = loop {
             tokio::select! {
                 opened = &mut opening => break opened.map_err(|_| "not connected in time".to_string())??,
-                Some(order) = self.orders.recv() => self.order(outgoing, order).await,
+                Some(order) = self.orders.recv(), if outgoing.waiting() < TAKEN_AHEAD => {
+                    self.order(outgoing, order).await
+                }
                 Ok(()) = self.listed.changed() => { self.heed(outgoing).await; }
             }
         };
@@ -256,7 +261,7 @@
                     }
                     None => break Ended::Broken,
                 },
-                order = self.orders.recv() => match order {
+                order = self.orders.recv(), if outgoing.waiting() < TAKEN_AHEAD => match order {
                     Some(order) => self.order(outgoing, order).await,
                     None => break Ended::Done,
                 },
@@ -318,3 +323,70 @@
         None => Err("closed before its welcome".into()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use spokeflow_proto::Role;
+    use tokio::net::TcpListener;
+
+    /// A host that greets and never reads again: its queue must fill, so that the engine hears `Full`. The task
+    /// once took all that came into a list of its own, and the bound of the queue bound nothing.
+    #[test]
+    fn what_a_host_does_not_read_fills_its_queue() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let port = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = port.local_addr().unwrap().to_string();
+            tokio::spawn(async move {
+                let (stream, _) = port.accept().await.unwrap();
+                let (_read, mut write) = stream.into_split();
+                let codec = FrameCodec::<ToHost, FromHost>::new(WORK_LIMIT);
+                let mut bytes = BytesMut::new();
+                let welcome = FromHost::Welcome { host: 1, build: 1, incarnation: 1, up_us: 0 };
+                codec.write(&welcome, &mut bytes).unwrap();
+                write.write_all(&bytes).await.unwrap();
+                std::future::pending::<()>().await
+            });
+            let terms = LinkTerms {
+                hello: Hello::new(Role::Router, 0, 0),
+                connect_timeout: Duration::from_secs(5),
+                first_pause: Duration::from_millis(50),
+                longest_pause: Duration::from_secs(2),
+                idle: Duration::from_secs(60),
+                way_timeout: Duration::from_secs(60),
+            };
+            const QUEUE: usize = 8;
+            let (orders, inbox) = mpsc::channel(QUEUE);
+            let (core, mut heard) = mpsc::channel(4096);
+            let listed = Listed { address, incarnation: 1, open: true, gone: false, close_by: None };
+            let (_tell, told) = watch::channel(listed);
+            let link = HostLink {
+                host: HostId(1),
+                terms: Arc::new(terms),
+                clock: Clock::starting_now(),
+                core,
+                orders: inbox,
+                listed: told,
+            };
+            tokio::spawn(link.run());
+            let body = bytes::Bytes::from(vec![0; 60_000]);
+            let deliver = |delivery| {
+                let body = body.clone();
+                let left_us = 60_000_000;
+                ToHost::Deliver { delivery, op: 0, share: 0, key: 0, mark: 0, left_us, body }
+            };
+            let (mut taken, mut refused) = (0, 0);
+            for delivery in 0..1000 {
+                match orders.try_send((deliver(delivery), Micros::MAX)) {
+                    Ok(()) => taken += 1,
+                    Err(_) => refused += 1,
+                }
+                tokio::time::sleep(Duration::from_micros(300)).await;
+            }
+            // What the two systems hold between them is some megabytes at most.
+            assert!(matches!(heard.recv().await, Some(Arrival::Input(Input::FromHost { .. }))));
+            assert!(taken < 400 && refused > 600, "{taken} taken, {refused} refused");
+        });
+    }
+}
--- a/crates/spokeflow-router/src/serve.rs
+++ b/crates/spokeflow-router/src/serve.rs
@@ -51,6 +51,10 @@
 }
 
 impl Clock {
+    pub fn starting_now() -> Arc<Clock> {
+        Arc::new(Clock { start: Instant::now(), ending: AtomicBool::new(false), sparing: Sparing::new() })
+    }
+
     pub fn now(&self) -> Micros {
         self.start.elapsed().as_micros() as Micros
     }
@@ -173,8 +177,7 @@
     listening: Listening,
     ending: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let clock =
-        Arc::new(Clock { start: Instant::now(), ending: AtomicBool::new(false), sparing: Sparing::new() });
+    let clock = Clock::starting_now();
     let (core, mut arrivals) = mpsc::channel(ARRIVALS);
     let hello = Hello::new(Role::Router, terms.index, terms.site);
     let links = Arc::new(LinkTerms {
