The judge reads the desk's counts; side by side, lane and votes follow the trial hosts

Lines at fault: verdict and add (own answers only), judge (time-outs of a waiting op type), told complaint weight, and grow_lane and trial_share (a fleet whose earlier hosts leave one by one). Change: router.counted takes the desk's counts into the same sums, while a build is on trial: losses beyond the earlier builds', weighed by what part of this router's own losses counted as failures; slowness against the earlier builds; slowness of all against the time before, less more traffic or fewer hosts. Proof grows where few votes send back. Where a quorum decides, one report of a wrong answer lets a router speak. Side by side, votes to go on stand from the stage's start, the one for the release waits for four times the bake; trial hosts bear what the earlier ones each did.

--- a/crates/spokeflow-core/src/lib.rs
+++ b/crates/spokeflow-core/src/lib.rs
@@ -7,15 +7,13 @@
 mod ids;
 mod router;
 mod state;
-mod talk;
 mod terms;
 
 pub use chance::{unit, Chance};
 pub use egress::{Egress, Verdict};
 pub use ids::{BuildId, CommandId, HostId, Key, Micros, OpType, ShareId, ZoneId};
 pub use router::Router;
-pub use talk::Talk;
 pub use terms::{
-    DeliveryEnd, Gate, HostLine, HostPhase, ListKind, OpTerms, Repeat, RepeatScope, ServiceTerms, StageNews,
-    Standing, VoteAnswer,
+    DeliveryEnd, DeskCount, Gate, HostLine, HostPhase, ListKind, OpTerms, Repeat, RepeatScope, ServiceTerms,
+    StageNews, Standing, VoteAnswer,
 };
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -26,6 +26,9 @@
 /// Taken off each judged delivery beside the earlier build's rate, and off the reports of wrong answers.
 const FAIL_MARGIN: f64 = 0.02;
 const WRONG_MARGIN: f64 = 0.01;
+/// What the desk's counts of one op type and period weigh, and slowness there that is laid to chance.
+const COUNT_WEIGHT: f64 = 1.5;
+const COUNT_MARGIN: f64 = 0.3;
 const SEND_BACK_AT: f64 = 4.0;
 const HOLD_AT: f64 = 2.0;
 const QUIET_BELOW: f64 = 1.0;
@@ -38,8 +41,6 @@
 const ENOUGH_ANSWERS: u32 = 3;
 /// Hosts that must speak against a build at most: a router meets few of many.
 const MOST_VOICES: f64 = 8.0;
-/// Routers that all evidence is told to: what all tell all would grow with the square of the fleet.
-const LISTENERS: u32 = 8;
 /// Routers that each host is met by at least: uneven traffic evens out.
 const MET_BY: f64 = 60.0;
 /// Part of what the told multiple allows a cold host that is sent to it.
@@ -89,15 +90,18 @@
     /// Seconds that whole hosts have been there for, fading as the commands do.
     lived: f64,
     born: Micros,
+    own_index: u32,
     seen: u32,
     seen_in_stage: u32,
     old_lag: f64,
-    /// When each listener last told of which build, its sum and the answers it rests on.
-    peers: BTreeMap<u32, (Micros, BuildId, f64, u32)>,
-    /// By host and sum, what the listeners have not been told yet, and the answers it rests on.
-    untold: BTreeMap<(HostId, u8), f64>,
-    untold_answers: u8,
-    own_index: u32,
+    /// Trial deliveries that the desk counted in this stage.
+    counted_in_stage: f64,
+    /// Of the desk's counts: when the last period ended, what it held of all builds, and what was usual.
+    period: Micros,
+    traffic: [f64; 2],
+    usual_traffic: f64,
+    /// Own deliveries lost of late, and those of them that counted as failures of a build.
+    losses: [f64; 2],
     vote: Option<(BuildId, u8, Verdict)>,
     vote_stands_until: Micros,
     vote_again_at: Micros,
@@ -111,7 +115,8 @@
     delivery_cap: usize,
     side_by_side: bool,
     may_cancel: bool,
-    may_tell: bool,
+    /// How much more proof it takes where few routers send a build back: the hastiest would decide for all.
+    few_suffice: f64,
     longest_return: Option<Micros>,
     cold_from: f64,
     warm_within: Micros,
@@ -125,10 +130,12 @@
     by_op: bool,
     guarded_stages: u8,
     one_way: bool,
+    rolling: bool,
     go_wait: Micros,
     vote_life: Micros,
     vote_wait: Micros,
     complaint_weight: f64,
+    wrong_margin: f64,
 }
 
 impl Router {
@@ -137,6 +144,9 @@
         if terms.list_must_be_asked {
             out.watch_list();
         }
+        let back_share = f64::from(terms.back_votes) / f64::from(terms.fleet_size.max(1));
+        let quorum = terms.gate != Gate::Single && terms.back_votes > 0;
+        let reported = (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5);
         Router {
             now,
             ops: terms.ops.iter().map(OpRules::new).collect(),
@@ -156,7 +166,8 @@
             delivery_cap: terms.delivery_cap.min(4) as usize,
             side_by_side: terms.side_by_side,
             may_cancel: terms.may_cancel,
-            may_tell: terms.may_tell && terms.gate == Gate::Majority,
+            few_suffice: if quorum { (0.2 / back_share).max(1.0).sqrt() } else { 1.0 },
+            rolling: terms.rolling,
             longest_return: terms.may_name_return.then_some(terms.longest_return),
             cold_from: terms.cold_from.clamp(0.05, 1.0),
             warm_within: terms.warm_within.max(1),
@@ -174,7 +185,13 @@
             go_wait: terms.stage_bake + SECOND,
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
-            complaint_weight: (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5),
+            // Where a quorum decides, one report lets a router speak: false ones strike few at a time.
+            complaint_weight: if quorum {
+                1.3 * SEND_BACK_AT * (back_share / 0.2).min(1.0)
+            } else {
+                reported
+            },
+            wrong_margin: WRONG_MARGIN * if quorum { 2.0 } else { 1.0 },
             ..Router::default()
         }
     }
@@ -225,13 +242,14 @@
         let before = self.news.replace(news);
         let same_build = before.is_some_and(|b| b.build == news.build);
         if !same_build {
-            (self.seen, self.untold) = (0, BTreeMap::new());
+            self.seen = 0;
             self.sums.fill(0.0);
             self.hosts.blame.fill(0.0);
         }
         if !same_build || before.is_some_and(|b| b.stage != news.stage || b.standing != news.standing) {
             self.stage_began = self.now - news.age;
             (self.seen_in_stage, self.vote, self.vote_again_at) = (0, None, self.now);
+            self.counted_in_stage = 0.0;
         }
         if self.sent_back(news.build) {
             // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
@@ -413,8 +431,11 @@
 
     /// What part of the present capacity runs the build on trial, cold hosts counted by what they can do.
     fn trial_share(&self, new: BuildId, old: BuildId) -> f64 {
-        let all: f64 = self.ready().filter(|&h| self.hosts.build[h] >= old).map(|h| self.warmth(h)).sum();
-        self.ready_with(new).map(|h| self.warmth(h)).sum::<f64>() / all.max(1e-9)
+        // Side by side, each trial host bears what each earlier one did before the trial.
+        let bears = |h: &usize| self.hosts.build[*h] == old || self.rolling && self.hosts.build[*h] > old;
+        let able = |h: usize| self.warmth(h) * self.hosts.line[h].size;
+        let all: f64 = self.ready().filter(bears).map(able).sum();
+        (self.ready_with(new).map(able).sum::<f64>() / all.max(1e-9)).min(1.0)
     }
 
     /// The least part of its capacity that a host can have by now.
@@ -434,7 +455,8 @@
         let cap = self.cap(new).max(0.0);
         let share = stable.map_or(1.0, |old| self.trial_share(new, old));
         let follow = share.min(if cap < 1.0 { REPIN_OF_CAP * cap } else { 1.0 });
-        let aim = (LANE_OF_CAP * cap).min(1.25 * share).max(follow);
+        let ahead = if self.rolling { 1.25 } else { 1.0 };
+        let aim = (LANE_OF_CAP * cap).min(ahead * share).max(follow);
         self.lane = self.lane.max(aim.min(self.lane + spent * aim.max(0.02))).min(cap);
     }
 
@@ -631,6 +653,9 @@
             let step = if took as f64 > rules.target * rules.strain.exp() { 0.2 } else { -0.2 };
             rules.strain = (rules.strain + step).clamp(-2.0, 1.0);
         }
+        if !matches!(end, DeliveryEnd::Acked | DeliveryEnd::Cancelled | DeliveryEnd::NotSent) {
+            self.losses = [0.95 * self.losses[0] + 1.0, 0.95 * self.losses[1]];
+        }
         if self.hosts.build[h] == build {
             self.judge(h, op, share, end, took);
             self.health(h, end);
@@ -708,6 +733,12 @@
 
     // ---- Health ----
 
+    pub fn reported(&mut self, host: HostId, busy: f64) {
+        if let Some(&h) = self.index.get(&host) {
+            (self.hosts.busy[h], self.hosts.busy_at[h]) = (busy.clamp(0.0, 1.0), self.now);
+        }
+    }
+
     fn health(&mut self, h: usize, end: DeliveryEnd) {
         match end {
             DeliveryEnd::Acked => {
@@ -763,10 +794,16 @@
             DeliveryEnd::Reset if self.now >= self.hosts.shut_until[h] => 1.0,
             // A time that the client cut short says little.
             DeliveryEnd::TimedOut if (took as f64) < self.ops[op].target => return,
+            // Where an op type waits at every host alike, that is not the build's doing.
+            DeliveryEnd::TimedOut if self.detour(1, op) > 0.0 => return self.learn_way(1, op, 2.0),
             DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes[h] == 0 => 1.0,
             _ => return,
         };
         let acked = end == DeliveryEnd::Acked;
+        self.losses[1] += failed;
+        if end == DeliveryEnd::TimedOut {
+            self.learn_way(1, op, 2.0);
+        }
         self.by_share.iter_mut().flatten().for_each(|n| *n *= 0.98);
         let erred = f64::from(u8::from(end == DeliveryEnd::Error));
         self.by_share[share] = [self.by_share[share][0] + 1.0, self.by_share[share][1] + erred];
@@ -789,14 +826,13 @@
         if newest && self.hosts.build.iter().any(|b| *b < build) {
             self.seen += 1;
             self.seen_in_stage += 1;
-            self.untold_answers = self.untold_answers.saturating_add(1);
             let wrong = &mut self.sums[self.ops.len() + 1];
-            *wrong = (*wrong - WRONG_MARGIN).max(0.0);
+            *wrong = (*wrong - self.wrong_margin).max(0.0);
             let gain = failed - self.old_fails[op] - FAIL_MARGIN;
-            self.found(h, op, gain * self.proof(share));
+            self.add(h, op, gain * self.proof(share));
             if known {
                 let excused = self.old_lag.max(self.by_load());
-                self.found(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
+                self.add(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
             }
             return;
         }
@@ -821,13 +857,6 @@
         FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
 
-    fn found(&mut self, h: usize, which: usize, gain: f64) {
-        if self.may_tell {
-            *self.untold.entry((self.hosts.line[h].host, which as u8)).or_default() += gain;
-        }
-        self.add(h, which, gain);
-    }
-
     /// A build is convicted by two in five of its hosts, and by two at least where it has three: each may bring
     /// only its part. Guards against hosts that crash, hang, err or crawl, one or a third of them at once; it
     /// could harm by a few more failures of a build that fails rarely and on many hosts.
@@ -887,6 +916,58 @@
         }
     }
 
+    /// What the desk counted of all routers' deliveries: alike for all, it stands in for answers where a router sees
+    /// few of its own. Each period brings a part of the proof at most, so that one of trouble convicts nobody. Guards
+    /// against builds that no single router sees enough of; it could harm where troubles strike trial hosts only.
+    pub fn counted(&mut self, count: DeskCount) {
+        let (op, n) = (usize::from(count.op.0), f64::from(count.sampled));
+        let Some(news) = self.news.filter(|_| op < self.ops.len() && n > 0.0) else { return };
+        let (on_trial, ended) = (news.standing == Standing::OnTrial, self.now - count.age);
+        if ended > self.period + SECOND / 4 {
+            let pace = if self.usual_traffic > 0.0 { 0.3 } else { 1.0 };
+            if !on_trial && self.traffic[0] > 0.0 {
+                self.usual_traffic += pace * (self.traffic[0] - self.usual_traffic);
+            }
+            (self.period, self.traffic) = (ended, [0.0, self.traffic[0]]);
+        }
+        self.traffic[0] += n;
+        let lost = f64::from(count.lost).min(n);
+        let (acked, mean) = (n - lost, count.mean as f64 / SECOND as f64);
+        let waits = self.detour(1, op) > 0.0;
+        let last = self.sums.len() - 1;
+        let fewer = self.load()[2] / self.usual_load[2].max(1e-9);
+        let rules = &mut self.ops[op];
+        let [answered, time] = rules.counted;
+        let slower = |usual: f64| (mean.max(1e-6) / usual.max(1e-6)).ln().clamp(-2.0, 2.0);
+        // More traffic or fewer hosts than before the trial explain slowness.
+        let more = fewer.max(self.traffic[1].max(self.traffic[0]) / self.usual_traffic.max(1.0));
+        let more = 1.5 * more.ln().max(0.0);
+        // Of what the desk calls lost, that part which would count as a failure if it were this router's own.
+        let blamed = (self.losses[1] + 1.0) / (self.losses[0] + 1.0);
+        let weight = COUNT_WEIGHT * acked / (acked + 12.0);
+        let usual = rules.counted_usual;
+        if count.build < news.build || self.hosts.build.iter().all(|b| *b >= news.build) {
+            rules.counted = [0.8 * answered + acked, 0.8 * time + mean * acked];
+            rules.counted_lost = (lost / (n + 4.0)).max(0.8 * rules.counted_lost);
+            if !on_trial {
+                rules.counted_usual = rules.counted[1] / rules.counted[0].max(1.0);
+            }
+        } else if !waits && on_trial {
+            self.counted_in_stage += n;
+            let gain = blamed * (lost - n * rules.counted_lost) - n * FAIL_MARGIN;
+            self.sums[op] = (self.sums[op] + gain.min(COUNT_WEIGHT / 2.0)).max(0.0);
+            if answered >= 10.0 {
+                let late = &mut self.sums[last - 2];
+                let gain = weight * (slower(time / answered) - more - LATE_MARGIN);
+                *late = (*late + gain).max(0.0);
+            }
+        }
+        if on_trial && !waits && usual > 0.0 && self.counted_in_stage > 0.0 {
+            let shared = &mut self.sums[last];
+            *shared = (*shared + weight * (slower(usual).min(1.5) - more - COUNT_MARGIN)).max(0.0);
+        }
+    }
+
     pub fn disputed(&mut self, host: HostId, since: Micros) {
         let Some(&h) = self.index.get(&host) else { return };
         // An answer of the process before this one says nothing of its build.
@@ -898,64 +979,12 @@
         }
     }
 
-    /// The routers that the evidence on a build is told to; all know which.
-    fn listeners(&self, build: BuildId) -> BTreeSet<u32> {
-        let drawn = |n| (unit(u64::from(build.0) << 8 | u64::from(n)) * self.fleet) as u32;
-        let all = self.fleet as u32;
-        if all <= LISTENERS {
-            (0..all).collect()
-        } else {
-            (0..LISTENERS).map(drawn).collect()
-        }
-    }
-
-    /// Guards against thin traffic: no router of many sees enough by itself, so eight sum up what all see,
-    /// host by host as if they had seen it, and tell the others how it stands. A lost message is lost proof.
-    pub fn heard(&mut self, sender: u32, text: &[u8]) {
-        let present = self.news.map(|n| n.build);
-        match Talk::read(text) {
-            Some(Talk::Stands { build, answers, sum }) if Some(build) == present => {
-                self.peers.insert(sender, (self.now, build, sum, u32::from(answers)));
-            }
-            Some(Talk::Found { build, answers, gains }) if Some(build) == present => {
-                self.seen += u32::from(answers);
-                self.seen_in_stage += u32::from(answers);
-                for (host, which, gain) in gains {
-                    let known = self.index.get(&host).filter(|&&h| self.hosts.build[h] == build);
-                    if let Some(&h) = known.filter(|_| usize::from(which) < self.sums.len()) {
-                        self.add(h, usize::from(which), gain);
-                    }
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn tell(&mut self, build: BuildId, out: Out) {
-        let listeners = self.listeners(build);
-        let answers = std::mem::take(&mut self.untold_answers);
-        let gains: Vec<_> =
-            std::mem::take(&mut self.untold).into_iter().map(|((h, n), g)| (h, n, g)).collect();
-        if !gains.is_empty() {
-            let text = Talk::Found { build, answers, gains }.write();
-            listeners.iter().filter(|r| **r != self.own_index).for_each(|r| out.tell(Some(*r), &text));
-        }
-        if listeners.contains(&self.own_index) && self.fleet > f64::from(LISTENERS) && self.seen > 0 {
-            let answers = self.seen.min(255) as u8;
-            out.tell(None, &Talk::Stands { build, answers, sum: self.sum() }.write());
-        }
-    }
-
     fn verdict(&self) -> Option<(BuildId, u8, Verdict)> {
         let news = self.news.filter(|n| matches!(n.standing, Standing::OnTrial | Standing::Released))?;
-        let told = self.peers.values().filter(|p| p.1 == news.build && self.now - p.0 < 3 * SECOND);
         let on_trial = news.standing == Standing::OnTrial;
         // Once released, going back means a cold start of the whole fleet: it wants twice the proof.
-        let proof = SEND_BACK_AT * if on_trial { 1.0 } else { 2.0 };
-        // One listener may be cut off from the others: it wants a second one, or doubts of one's own.
-        let convinced =
-            told.clone().filter(|p| p.2 >= proof).count() + usize::from(self.sum() >= proof / 2.0);
-        if self.seen >= ENOUGH_ANSWERS && self.sum() >= proof || convinced >= 2 {
+        let proof = SEND_BACK_AT * self.few_suffice * if on_trial { 1.0 } else { 2.0 };
+        if f64::from(self.seen) + self.counted_in_stage >= f64::from(ENOUGH_ANSWERS) && self.sum() >= proof {
             return Some((news.build, news.stage, Verdict::Back));
         }
         if !on_trial {
@@ -973,9 +1002,16 @@
         // Where one vote is enough, what a quiet router has seen the whole fleet has seen many times over.
         let alike = if self.gate == Gate::Majority { 1 } else { self.fleet as u32 };
         let enough = (ENOUGH_ANSWERS * ENOUGH_ANSWERS / alike).clamp(1, ENOUGH_ANSWERS);
-        let known = told.clone().map(|p| p.3).fold(self.seen_in_stage, u32::max) >= enough;
-        let top = told.map(|p| p.2).fold(self.sum(), f64::max);
-        let go = top < QUIET_BELOW && waited >= self.go_wait && (known || waited >= 3 * self.go_wait);
+        let known = self.seen_in_stage >= enough || self.counted_in_stage >= f64::from(3 * enough);
+        // Where the earlier hosts stay until the release, a stage costs little to take back and its release much:
+        // a vote for the stage stands from its beginning, the one for the release waits for the whole traffic.
+        let last = usize::from(news.stage) + 1 >= self.stage_shares.len();
+        let due = match (self.rolling, last) {
+            (true, _) => waited >= self.go_wait && known || waited >= 3 * self.go_wait,
+            (false, true) => complete && waited >= 4 * self.go_wait,
+            (false, false) => true,
+        };
+        let go = self.sum() < QUIET_BELOW && due;
         go.then_some((news.build, news.stage, Verdict::On))
     }
 
@@ -1045,8 +1081,5 @@
         self.swept = self.now;
         let (now, one_way) = (self.now, self.one_way);
         self.pins.retain(|_, p| now - p.used < PIN_IDLE || one_way && p.answered_by.is_some());
-        if let Some(news) = self.news.filter(|_| self.may_tell) {
-            self.tell(news.build, out);
-        }
     }
 }
--- a/crates/spokeflow-core/src/state.rs
+++ b/crates/spokeflow-core/src/state.rs
@@ -14,6 +14,12 @@
     pub acks: f64,
     /// Median time to an answer over the service target, as a logarithm.
     pub strain: f64,
+    /// Of the desk's counts at earlier builds, fading: those with an answer, and their seconds.
+    pub counted: [f64; 2],
+    /// The share lost there, which rises at once and sinks slowly.
+    pub counted_lost: f64,
+    /// Mean seconds that the desk counted before the trial.
+    pub counted_usual: f64,
 }
 
 impl OpRules {
@@ -27,6 +33,9 @@
             usual_seen: 0,
             acks: 0.0,
             strain: f64::NEG_INFINITY,
+            counted: [0.0; 2],
+            counted_lost: 0.0,
+            counted_usual: 0.0,
         }
     }
 }
@@ -75,6 +84,11 @@
     pub shut_until: Vec<Micros>,
     /// How much slower than usual the host answers, as a logarithm.
     pub lag: Vec<f64>,
+    /// How busy its cores are, 0 to 1, as its last report said; NaN before the first, and when that came.
+    pub busy: Vec<f64>,
+    pub busy_at: Vec<Micros>,
+    /// When it last answered over a connection that has not been refused since.
+    pub linked_at: Vec<Micros>,
     /// Since when nothing has come back while something is out.
     pub mute_since: Vec<Micros>,
     /// The host's part of the judge's sum.
@@ -87,7 +101,10 @@
         self.build.push(line.build.unwrap_or_default());
         [&mut self.in_flight, &mut self.sent].into_iter().for_each(|v| v.push(0));
         [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v.push(0));
-        [&mut self.shut_until, &mut self.mute_since].into_iter().for_each(|v| v.push(Micros::MIN));
+        [&mut self.shut_until, &mut self.mute_since, &mut self.busy_at, &mut self.linked_at]
+            .into_iter()
+            .for_each(|v| v.push(Micros::MIN));
+        self.busy.push(f64::NAN);
         [&mut self.lag, &mut self.blame].into_iter().for_each(|v| v.push(0.0));
         self.slot.push(Micros::MIN);
         self.line.len() - 1
@@ -100,7 +117,8 @@
             self.build[h] = build;
             [&mut self.sent, &mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
             [&mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
-            self.shut_until[h] = Micros::MIN;
+            (self.shut_until[h], self.linked_at[h]) = (Micros::MIN, Micros::MIN);
+            self.busy[h] = f64::NAN;
         }
         self.line[h] = *line;
     }
--- a/crates/spokeflow-core/src/terms.rs
+++ b/crates/spokeflow-core/src/terms.rs
@@ -1,6 +1,6 @@
 //! What is read at start and what is told later, in the words of the trade.
 
-use crate::{BuildId, HostId, Micros, ZoneId};
+use crate::{BuildId, HostId, Micros, OpType, ZoneId};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -75,6 +75,8 @@
     pub vote_life: Micros,
     pub vote_wait: Micros,
     pub complaint_share: f64,
+    /// Routers whose votes send a build back; 0 where that is not told.
+    pub back_votes: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,6 +95,8 @@
     pub cell: u16,
     pub zone: ZoneId,
     pub phase: HostPhase,
+    /// Its capacity against other hosts', in any unit; above 0, and 1 where the list does not say.
+    pub size: f64,
     /// When the process last started; `None` for long ago.
     pub started: Option<Micros>,
 }
@@ -143,6 +147,20 @@
     pub age: Micros,
 }
 
+/// What the desk counted of one op type at one build, in a sample of all routers' deliveries over a past period.
+#[derive(Clone, Copy, Debug)]
+pub struct DeskCount {
+    pub build: BuildId,
+    pub op: OpType,
+    pub sampled: u32,
+    /// Those that did not end with an ack.
+    pub lost: u32,
+    /// Mean time of the others.
+    pub mean: Micros,
+    /// How long ago the period ended.
+    pub age: Micros,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VoteAnswer {
     Counted,
--- a/crates/spokeflow-core/tests/common/mod.rs
+++ b/crates/spokeflow-core/tests/common/mod.rs
@@ -61,6 +61,7 @@
         vote_life: 6 * SECOND,
         vote_wait: 2 * SECOND,
         complaint_share: 0.2,
+        back_votes: 0,
     }
 }
 
@@ -323,6 +324,7 @@
         cell: (host % 4) as u16,
         zone: ZoneId((host % 2) as u16),
         phase: HostPhase::Ready,
+        size: 1.0,
         started: None,
     }
 }
--- a/crates/spokeflow-emulator/src/terms.rs
+++ b/crates/spokeflow-emulator/src/terms.rs
@@ -61,6 +61,7 @@
         vote_life: 10 * SECOND,
         vote_wait: 2 * SECOND,
         complaint_share: day.reported,
+        back_votes: 0,
     };
     EngineTerms { service, answer_margin: 30 * MS, held_at_most: 20_000 }
 }
--- a/crates/spokeflow-engine/src/engine.rs
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -140,7 +140,8 @@
                     self.router.vote_answered(VoteAnswer::Silence);
                 }
             }
-            Input::Told { router, text } => self.router.heard(router, &text),
+            // The module makes no use of what other routers say.
+            Input::Told { .. } => {}
             Input::Close => self.closing = true,
             Input::Wake => self.wake(links),
         }
@@ -321,7 +322,7 @@
         };
         let up = line.up_us.map(|up| up.min(Micros::MAX as u64 / 4) as Micros);
         let (build, zone) = (line.build.map(BuildId), ZoneId(line.zone));
-        let fresh = HostLine { host, build, cell: line.cell, zone, phase, started: None };
+        let fresh = HostLine { host, build, cell: line.cell, zone, phase, size: 1.0, started: None };
         let mut first = false;
         let place = self.book.places.entry(host).or_insert_with(|| {
             first = true;
--- a/crates/spokeflow-engine/tests/common/mod.rs
+++ b/crates/spokeflow-engine/tests/common/mod.rs
@@ -136,6 +136,7 @@
         vote_life: 6 * SECOND,
         vote_wait: SECOND,
         complaint_share: 0.2,
+        back_votes: 0,
     };
     EngineTerms { service, answer_margin: MARGIN, held_at_most: 1000 }
 }
--- a/crates/spokeflow-router/src/terms.rs
+++ b/crates/spokeflow-router/src/terms.rs
@@ -129,6 +129,9 @@
     /// Part of the wrong answers that clients report, 0 to 1
     #[arg(long, env = "SPOKEFLOW_COMPLAINT_SHARE", default_value_t = 0.0)]
     pub complaint_share: f64,
+    /// Routers whose votes send a build back; 0 where the desk does not say
+    #[arg(long, env = "SPOKEFLOW_BACK_VOTES", default_value_t = 0)]
+    pub back_votes: u32,
 }
 
 /// One router of the deployment.
@@ -445,6 +448,7 @@
             vote_life: micros(s.vote_life),
             vote_wait: micros(s.vote_wait),
             complaint_share: s.complaint_share,
+            back_votes: s.back_votes,
         };
         EngineTerms { service, answer_margin: micros(self.answer_margin), held_at_most: self.held_at_most }
     }
--- a/crates/spokeflow-wirehost/src/frame.rs
+++ b/crates/spokeflow-wirehost/src/frame.rs
@@ -100,10 +100,10 @@
         Ok(micros(self.f64()?))
     }
 
-    pub fn load(&mut self) -> Result<(), Malformed> {
+    /// The values of a load report, in the order of the settings' columns; none where no report came along.
+    pub fn load(&mut self) -> Result<Vec<f64>, Malformed> {
         let n = self.u8()?;
-        self.bytes(usize::from(n) * 4)?;
-        Ok(())
+        (0..n).map(|_| self.f32()).collect()
     }
 }
 
--- a/crates/spokeflow-wirehost/src/main.rs
+++ b/crates/spokeflow-wirehost/src/main.rs
@@ -11,8 +11,8 @@
 use frame::{Fields, Malformed};
 use reply::Reply;
 use spokeflow_core::{
-    BuildId, CommandId, DeliveryEnd, HostId, HostLine, HostPhase, Key, ListKind, Micros, OpType, Router,
-    ShareId, StageNews, Standing, VoteAnswer, ZoneId,
+    BuildId, CommandId, DeliveryEnd, DeskCount, HostId, HostLine, HostPhase, Key, ListKind, Micros, OpType,
+    Router, ShareId, StageNews, Standing, VoteAnswer, ZoneId,
 };
 
 fn main() -> ExitCode {
@@ -28,7 +28,12 @@
 fn run() -> Result<(), String> {
     let mut input = BufReader::with_capacity(1 << 16, io::stdin().lock());
     let mut output = io::stdout().lock();
-    let mut wire = Wire { routers: BTreeMap::new(), lists: Default::default(), reply: Reply::new() };
+    let mut wire = Wire {
+        routers: BTreeMap::new(),
+        busy_column: BTreeMap::new(),
+        lists: Default::default(),
+        reply: Reply::new(),
+    };
     let mut body = Vec::new();
     while let Some((count, now)) = frame::read_batch(&mut input, &mut body).map_err(|e| e.to_string())? {
         wire.batch(&body, count, now).map_err(|e| e.to_string())?;
@@ -43,6 +48,8 @@
 
 struct Wire {
     routers: BTreeMap<u32, Router>,
+    /// Where in a load report each router's hosts say how busy they are.
+    busy_column: BTreeMap<u32, usize>,
     lists: [Vec<HostLine>; 16],
     reply: Reply,
 }
@@ -101,7 +108,11 @@
             let seed = f.u64()?;
             let len = f.u32()? as usize;
             let text = f.bytes(len)?;
-            let terms = settings::read(text).map_err(|what| f.malformed(what))?;
+            let (terms, busy_column) = settings::read(text).map_err(|what| f.malformed(what))?;
+            self.busy_column.remove(&instance);
+            if let Some(column) = busy_column {
+                self.busy_column.insert(instance, column);
+            }
             self.routers.insert(instance, Router::new(&terms, seed, now, out));
             return Ok(());
         }
@@ -146,11 +157,15 @@
             4 => {
                 let cmd = CommandId(f.u32()?);
                 let delivery = f.u8()?;
-                f.u32()?;
+                let host = HostId(f.u32()?);
                 let end = delivery_end(f)?;
                 let latency = f.time()?;
                 let finished = f.u8()? != 0;
-                f.load()?;
+                let load = f.load()?;
+                let busy = self.busy_column.get(&instance).and_then(|column| load.get(*column));
+                if let Some(busy) = busy {
+                    router.reported(host, *busy);
+                }
                 router.ended(cmd, delivery, end, latency, finished, out);
             }
             5 => router.end(CommandId(f.u32()?), out),
@@ -158,11 +173,6 @@
                 f.u32()?;
                 router.woken(out);
             }
-            8 => {
-                let sender = f.u32()?;
-                let len = f.u16()?;
-                router.heard(sender, f.bytes(usize::from(len))?);
-            }
             9 => {
                 self.routers.remove(&instance);
             }
@@ -193,7 +203,15 @@
                 f.u16()?;
                 router.disputed(host, since);
             }
-            // Probes are not asked for, the sums of the desk not used, codes of a later wire not known.
+            11 => {
+                let sampled = f.u32()?;
+                let age = f.time()?;
+                let (op, build) = (OpType(f.u16()?), BuildId(f.u16()?));
+                let mean = f.time()?;
+                let lost = f.u32()?;
+                router.counted(DeskCount { build, op, sampled, lost, mean, age });
+            }
+            // Routers send each other nothing, probes are not asked for, codes of a later wire not known.
             _ => {}
         }
         Ok(())
@@ -211,11 +229,12 @@
         2 => HostPhase::Draining,
         other => return Err(f.malformed(format!("host phase {other} is not known"))),
     };
-    f.f32()?;
+    let size = f.f32()?;
+    let size = if size.is_finite() && size > 0.0 { size } else { 1.0 };
     let ready_at = f.time()?;
     let build = (0.0..65536.0).contains(&release).then_some(BuildId(release as u16));
     let started = (ready_at != 0).then_some(ready_at);
-    Ok(HostLine { host: HostId(f.u32()?), build, cell, zone, phase, started })
+    Ok(HostLine { host: HostId(f.u32()?), build, cell, zone, phase, size, started })
 }
 
 fn delivery_end(f: &mut Fields) -> Result<DeliveryEnd, Malformed> {
--- a/crates/spokeflow-wirehost/src/settings.rs
+++ b/crates/spokeflow-wirehost/src/settings.rs
@@ -21,6 +21,8 @@
     #[serde(default)]
     membership_mode: String,
     caps: Caps,
+    #[serde(default)]
+    feedback: Feedback,
     guarantees: Guarantees,
     family_info: Family,
 }
@@ -73,6 +75,12 @@
     }
 }
 
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Feedback {
+    columns: Vec<String>,
+}
+
 #[derive(Deserialize)]
 struct Guarantees {
     #[serde(default)]
@@ -111,12 +119,15 @@
     answer_wait_s: f64,
     #[serde(default)]
     complaint_share: f64,
+    #[serde(default)]
+    back_votes: u32,
 }
 
-pub fn read(text: &[u8]) -> Result<ServiceTerms, String> {
+/// The terms, and which value of a load report says how busy a host's cores are.
+pub fn read(text: &[u8]) -> Result<(ServiceTerms, Option<usize>), String> {
     let p: Params = serde_json::from_slice(text).map_err(|e| format!("settings do not parse: {e}"))?;
     let ops = p.categories.iter().map(op).collect();
-    Ok(ServiceTerms {
+    let terms = ServiceTerms {
         ops,
         shares: p.tenants.iter().map(|t| t.allowance_per_s.max(1e-3)).collect(),
         own_zone: ZoneId(p.zone),
@@ -155,7 +166,9 @@
         vote_life: micros(p.family_info.vote_ttl_s),
         vote_wait: micros(p.family_info.answer_wait_s),
         complaint_share: p.family_info.complaint_share,
-    })
+        back_votes: p.family_info.back_votes,
+    };
+    Ok((terms, p.feedback.columns.iter().position(|name| name == "cpu")))
 }
 
 fn op(c: &Category) -> OpTerms {
