Squeezed connections: keep to linked hosts; placement by size and load reports

Line at fault: health treats a refused connection as a host that is down, and place draws from all. Change: while over 15% of late find no connection, place keeps to hosts that answered within 10 s and have refused none since. Hosts are drawn by the list's size, and own commands in flight are weighed by the load report, which fades to the mean of late in 6 s.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -53,6 +53,12 @@
 const CROWDED_PART: f64 = 0.4;
 const STRAINED_PART: f64 = 0.5;
 const HOLD_PART: f64 = 0.3;
+/// Share of the deliveries that find no connection beyond which a router keeps to the hosts that it has one to,
+/// and how long one is taken to stand after an answer over it.
+const MOST_REFUSED: f64 = 0.15;
+const LINK_LASTS: Micros = 10 * SECOND;
+/// Seconds in which a load report loses most of what it says.
+const REPORT_FADES: f64 = 6.0;
 const DOUBT_PART: f64 = 0.35;
 
 #[derive(Default)]
@@ -102,6 +108,10 @@
     usual_traffic: f64,
     /// Own deliveries lost of late, and those of them that counted as failures of a build.
     losses: [f64; 2],
+    /// Share of late of the deliveries that found no connection.
+    refused: f64,
+    /// Mean of late of what hosts report.
+    busy: f64,
     vote: Option<(BuildId, u8, Verdict)>,
     vote_stands_until: Micros,
     vote_again_at: Micros,
@@ -520,6 +530,11 @@
             // Most hosts seem unfit at once: that is this router's view or its zone's links, not the hosts.
             pool = untried;
         }
+        // Hosts that take no new connection go on serving over the ones that stand.
+        let linked = |h: &usize| self.now.saturating_sub(self.hosts.linked_at[*h]) < LINK_LASTS;
+        if self.refused > MOST_REFUSED && pool.iter().any(linked) {
+            pool.retain(linked);
+        }
         // What runs at most once is lost with a host that fails: it goes where answers come back. A host
         // under suspicion is tried by a command that may be delivered again.
         let proven = |h: &usize| self.hosts.strikes[*h] == 0;
@@ -529,11 +544,30 @@
         if pool.is_empty() {
             return None;
         }
-        let (a, b) = (pool[self.chance.below(pool.len())], pool[self.chance.below(pool.len())]);
-        // Own commands in flight, weighed by how slowly the host has answered of late.
-        let crawl = |h: usize| self.hosts.lag[h].clamp(0.0, 2.0).exp();
-        let weigh = |h: usize| f64::from(self.hosts.in_flight[h] + 1) * crawl(h);
-        Some(if weigh(b) < weigh(a) { b } else { a })
+        let (a, b) = (self.draw(&pool), self.draw(&pool));
+        Some(if self.press(b) < self.press(a) { b } else { a })
+    }
+
+    /// One host of a pool, by chance, each as often as its size says.
+    fn draw(&mut self, pool: &[usize]) -> usize {
+        let largest = pool.iter().map(|&h| self.hosts.line[h].size).fold(0.0, f64::max);
+        loop {
+            let h = pool[self.chance.below(pool.len())];
+            let part = self.hosts.line[h].size / largest;
+            if part >= 1.0 || self.chance.share() < part {
+                return h;
+            }
+        }
+    }
+
+    /// Own commands in flight, weighed by how slowly the host has answered of late and, where it reports, by how long
+    /// others' commands make one wait. A report says less the older it is.
+    fn press(&self, h: usize) -> f64 {
+        let crawl = self.hosts.lag[h].clamp(0.0, 2.0).exp();
+        let age = self.now.saturating_sub(self.hosts.busy_at[h]) as f64 / SECOND as f64;
+        let told = self.hosts.busy[h] - self.busy;
+        let busy = self.busy + if told.is_nan() { 0.0 } else { told * (-age / REPORT_FADES).exp() };
+        f64::from(self.hosts.in_flight[h] + 1) * crawl / (1.05 - busy)
     }
 
     /// Guards against a new connection for nearly every command: a router with little traffic keeps to a few
@@ -735,11 +769,18 @@
 
     pub fn reported(&mut self, host: HostId, busy: f64) {
         if let Some(&h) = self.index.get(&host) {
-            (self.hosts.busy[h], self.hosts.busy_at[h]) = (busy.clamp(0.0, 1.0), self.now);
+            let busy = busy.clamp(0.0, 1.0);
+            (self.hosts.busy[h], self.hosts.busy_at[h]) = (busy, self.now);
+            self.busy += 0.05 * (busy - self.busy);
         }
     }
 
     fn health(&mut self, h: usize, end: DeliveryEnd) {
+        let refused = f64::from(u8::from(end == DeliveryEnd::NotConnected));
+        self.refused += 0.05 * (refused - self.refused);
+        if matches!(end, DeliveryEnd::Acked | DeliveryEnd::Error | DeliveryEnd::Full) {
+            self.hosts.linked_at[h] = self.now;
+        }
         match end {
             DeliveryEnd::Acked => {
                 self.hosts.strikes[h] = 0;
@@ -749,6 +790,7 @@
             DeliveryEnd::Error if self.hosts.answers[h] == 0 => self.strike(h, SECOND / 2),
             DeliveryEnd::Full => self.hosts.shut_until[h] = self.hosts.shut_until[h].max(self.now + 100 * MS),
             DeliveryEnd::NotConnected => {
+                self.hosts.linked_at[h] = Micros::MIN;
                 self.learn_way(0, self.hosts.line[h].zone.0.into(), 2.0);
                 self.strike(h, SECOND / 2);
             }
