Time-outs are slowness, not failures; a waiting op type is crowded by itself

Lines at fault: crowded (one bound for all op types), judge (TimedOut as 1.0), losses (cancels left out). Change: an op type that is far slower than the others at every host is counted by itself in the crowding bound, by the time it takes; a time-out is slowness of 2 (as a logarithm), which more traffic excuses; own cancels count among what the desk calls lost; own failures are judged less what the desk counts at the earlier builds; complete counts earlier hosts side by side.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -380,7 +380,11 @@
         order.sort_by(|a, b| had(a).total_cmp(&had(b)));
         for s in order {
             let mut waiting = std::mem::take(&mut self.held[s]);
-            while let Some(cmd) = (!self.crowded()).then(|| waiting.pop_front()).flatten() {
+            while let Some(&cmd) = waiting.front() {
+                if self.cmds.get(&cmd).is_some_and(|c| self.crowded(c.op)) {
+                    break;
+                }
+                waiting.pop_front();
                 self.route(cmd, out);
             }
             self.held[s].append(&mut waiting);
@@ -502,10 +506,10 @@
 
     /// Two random choices among the fit hosts of a build, by fewest own commands in flight.
     fn place(&mut self, cmd: CommandId, build: BuildId) -> Option<usize> {
-        if self.crowded() {
+        let c = &self.cmds[&cmd];
+        if self.crowded(c.op) {
             return None;
         }
-        let c = &self.cmds[&cmd];
         let rules = &self.ops[c.op];
         let bound = c.deliveries.iter().find(|d| d.may_have_run).map(|d| d.host);
         let drops_repeats = |h: usize| match (bound, rules.repeat, rules.scope) {
@@ -586,10 +590,18 @@
 
     /// Guards against piling up: no more is out than what lately came back within a part of the service
     /// target, whatever slows the hosts. It could harm where answers return after a gap.
-    fn crowded(&self) -> bool {
-        let out: u32 = self.hosts.in_flight.iter().sum();
+    /// An op type that waits at every host alike is counted by itself, by the time that it takes: it would fill the
+    /// bound for all others while it hardly works the hosts.
+    fn crowded(&self, op: usize) -> bool {
         let base = 2.0 + 2.0 * self.ready().count() as f64 / self.fleet;
-        f64::from(out) >= base + 1.1 * CROWDED_PART * self.returns()
+        let wait = self.detour(1, op);
+        let alike = |o: &usize| if wait > 0.0 { *o == op } else { self.detour(1, *o) == 0.0 };
+        let (mut out, mut returns) = (0, 0.0);
+        for o in (0..self.ops.len()).filter(alike) {
+            out += self.ops[o].out;
+            returns += self.ops[o].acks * self.ops[o].target / SECOND as f64;
+        }
+        f64::from(out) >= base + 1.1 * CROWDED_PART * returns * wait.exp()
     }
 
     /// Guards against hosts that take work and answer nothing, long before their first time-out.
@@ -639,6 +651,7 @@
             self.hosts.mute_since[host] = sent;
         }
         self.hosts.in_flight[host] += 1;
+        self.ops[c.op].out += 1;
         let same = u32::from(std::mem::replace(&mut self.hosts.slot[host], slot) == slot);
         self.hosts.sent[host] = same * self.hosts.sent[host] + 1;
         self.served[c.share] += 1.0;
@@ -678,6 +691,7 @@
         (d.open, d.may_have_run) = (false, end.may_have_run());
         let (h, build, op, key, share) = (d.host, d.build, c.op, c.key, c.share);
         self.hosts.in_flight[h] = self.hosts.in_flight[h].saturating_sub(1);
+        self.ops[op].out -= 1;
         if end == DeliveryEnd::Error && nth == 0 {
             // What errs at once is no load: it must not excuse slowness.
             self.flow[0] = (self.flow[0] - 1.0).max(0.0);
@@ -687,7 +701,7 @@
             let step = if took as f64 > rules.target * rules.strain.exp() { 0.2 } else { -0.2 };
             rules.strain = (rules.strain + step).clamp(-2.0, 1.0);
         }
-        if !matches!(end, DeliveryEnd::Acked | DeliveryEnd::Cancelled | DeliveryEnd::NotSent) {
+        if !matches!(end, DeliveryEnd::Acked | DeliveryEnd::NotSent) {
             self.losses = [0.95 * self.losses[0] + 1.0, 0.95 * self.losses[1]];
         }
         if self.hosts.build[h] == build {
@@ -838,7 +852,8 @@
             DeliveryEnd::TimedOut if (took as f64) < self.ops[op].target => return,
             // Where an op type waits at every host alike, that is not the build's doing.
             DeliveryEnd::TimedOut if self.detour(1, op) > 0.0 => return self.learn_way(1, op, 2.0),
-            DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes[h] == 0 => 1.0,
+            // A full fleet times out too: that is slowness, which more traffic excuses, and no failure.
+            DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes[h] == 0 => 0.0,
             _ => return,
         };
         let acked = end == DeliveryEnd::Acked;
@@ -852,9 +867,10 @@
         let time = (took.max(1) as f64).ln() + self.warmth(h).ln();
         // A mean that rests on few answers may be off by chance, which must not count against the build.
         let (rests_on, usual) = (f64::from(self.ops[op].usual_seen), self.ops[op].usual);
-        let known = acked && rests_on >= 5.0;
+        let known = rests_on >= 5.0;
         let unsure = (1.0 / rests_on.sqrt() - 0.25).max(0.0);
-        let late = if known { (time - usual - unsure).clamp(-2.0, 2.0) } else { 0.0 };
+        let slower = if acked { (time - usual - unsure).clamp(-2.0, 2.0) } else { 2.0 * (1.0 - failed) };
+        let late = if known { slower } else { 0.0 };
         let ways = [(0, self.hosts.line[h].zone.0.into()), (1, op), (2, share)];
         if known {
             ways.iter().for_each(|&(kind, n)| self.learn_way(kind, n, late));
@@ -870,7 +886,8 @@
             self.seen_in_stage += 1;
             let wrong = &mut self.sums[self.ops.len() + 1];
             *wrong = (*wrong - self.wrong_margin).max(0.0);
-            let gain = failed - self.old_fails[op] - FAIL_MARGIN;
+            let usual = self.old_fails[op].max(self.ops[op].counted_lost * self.blamed());
+            let gain = failed - usual - FAIL_MARGIN;
             self.add(h, op, gain * self.proof(share));
             if known {
                 let excused = self.old_lag.max(self.by_load());
@@ -977,6 +994,7 @@
         let (acked, mean) = (n - lost, count.mean as f64 / SECOND as f64);
         let waits = self.detour(1, op) > 0.0;
         let last = self.sums.len() - 1;
+        let blamed = self.blamed();
         let fewer = self.load()[2] / self.usual_load[2].max(1e-9);
         let rules = &mut self.ops[op];
         let [answered, time] = rules.counted;
@@ -984,8 +1002,6 @@
         // More traffic or fewer hosts than before the trial explain slowness.
         let more = fewer.max(self.traffic[1].max(self.traffic[0]) / self.usual_traffic.max(1.0));
         let more = 1.5 * more.ln().max(0.0);
-        // Of what the desk calls lost, that part which would count as a failure if it were this router's own.
-        let blamed = (self.losses[1] + 1.0) / (self.losses[0] + 1.0);
         let weight = COUNT_WEIGHT * acked / (acked + 12.0);
         let usual = rules.counted_usual;
         if count.build < news.build || self.hosts.build.iter().all(|b| *b >= news.build) {
@@ -1010,6 +1026,11 @@
         }
     }
 
+    /// Of what the desk calls lost, that part which would count as a failure if it were this router's own.
+    fn blamed(&self) -> f64 {
+        (self.losses[1] + 1.0) / (self.losses[0] + 1.0)
+    }
+
     pub fn disputed(&mut self, host: HostId, since: Micros) {
         let Some(&h) = self.index.get(&host) else { return };
         // An answer of the process before this one says nothing of its build.
@@ -1038,7 +1059,8 @@
         let started = || self.ready_with(news.build).map(|h| self.hosts.line[h].started.unwrap_or(0));
         let (count, latest) = (started().count(), started().max().unwrap_or(0));
         let share = self.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
-        let complete = count > 0 && count as f64 >= (share * self.ready().count() as f64).floor();
+        let earlier = |h: &usize| self.rolling || self.hosts.build[*h] < news.build;
+        let complete = count > 0 && count as f64 >= (share * self.ready().filter(earlier).count() as f64).floor();
         let unlisted = Micros::from(!complete && latest <= self.stage_began);
         let waited = self.now - latest.max(self.stage_began) - unlisted * 8 * SECOND;
         // Where one vote is enough, what a quiet router has seen the whole fleet has seen many times over.
--- a/crates/spokeflow-core/src/state.rs
+++ b/crates/spokeflow-core/src/state.rs
@@ -14,6 +14,8 @@
     pub acks: f64,
     /// Median time to an answer over the service target, as a logarithm.
     pub strain: f64,
+    /// Deliveries out.
+    pub out: u32,
     /// Of the desk's counts at earlier builds, fading: those with an answer, and their seconds.
     pub counted: [f64; 2],
     /// The share lost there, which rises at once and sinks slowly.
@@ -33,6 +35,7 @@
             usual_seen: 0,
             acks: 0.0,
             strain: f64::NEG_INFINITY,
+            out: 0,
             counted: [0.0; 2],
             counted_lost: 0.0,
             counted_usual: 0.0,
