Pins stay through one delivery that goes back; proof no longer grows with few votes

Lines at fault: route (a redelivery at the earlier build moved the pin), few_suffice (made for time-outs, which are no failures any more).

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -125,8 +125,6 @@
     delivery_cap: usize,
     side_by_side: bool,
     may_cancel: bool,
-    /// How much more proof it takes where few routers send a build back: the hastiest would decide for all.
-    few_suffice: f64,
     longest_return: Option<Micros>,
     cold_from: f64,
     warm_within: Micros,
@@ -176,7 +174,6 @@
             delivery_cap: terms.delivery_cap.min(4) as usize,
             side_by_side: terms.side_by_side,
             may_cancel: terms.may_cancel,
-            few_suffice: if quorum { (0.2 / back_share).max(1.0).sqrt() } else { 1.0 },
             rolling: terms.rolling,
             longest_return: terms.may_name_return.then_some(terms.longest_return),
             cold_from: terms.cold_from.clamp(0.05, 1.0),
@@ -353,8 +350,11 @@
                 full = true;
             } else if let Some(host) = self.place(cmd, build) {
                 if key.0 != 0 {
+                    // One delivery that goes back, after a failure or for want of room, takes no key off the trial.
+                    let stays =
+                        self.pins.get(&key).is_some_and(|p| build < p.build && self.on_trial(p.build));
                     let pin = self.pins.entry(key).or_default();
-                    (pin.build, pin.used) = (build, self.now);
+                    (pin.build, pin.used) = (if stays { pin.build } else { build }, self.now);
                 }
                 self.dispatch(cmd, host, out);
                 return true;
@@ -1046,7 +1046,7 @@
         let news = self.news.filter(|n| matches!(n.standing, Standing::OnTrial | Standing::Released))?;
         let on_trial = news.standing == Standing::OnTrial;
         // Once released, going back means a cold start of the whole fleet: it wants twice the proof.
-        let proof = SEND_BACK_AT * self.few_suffice * if on_trial { 1.0 } else { 2.0 };
+        let proof = SEND_BACK_AT * if on_trial { 1.0 } else { 2.0 };
         if f64::from(self.seen) + self.counted_in_stage >= f64::from(ENOUGH_ANSWERS) && self.sum() >= proof {
             return Some((news.build, news.stage, Verdict::Back));
         }
@@ -1060,7 +1060,8 @@
         let (count, latest) = (started().count(), started().max().unwrap_or(0));
         let share = self.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
         let earlier = |h: &usize| self.rolling || self.hosts.build[*h] < news.build;
-        let complete = count > 0 && count as f64 >= (share * self.ready().filter(earlier).count() as f64).floor();
+        let complete =
+            count > 0 && count as f64 >= (share * self.ready().filter(earlier).count() as f64).floor();
         let unlisted = Micros::from(!complete && latest <= self.stage_began);
         let waited = self.now - latest.max(self.stage_began) - unlisted * 8 * SECOND;
         // Where one vote is enough, what a quiet router has seen the whole fleet has seen many times over.
