--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -53,13 +53,12 @@
 const CROWDED_PART: f64 = 0.4;
 const STRAINED_PART: f64 = 0.5;
 const HOLD_PART: f64 = 0.3;
-/// Share of the deliveries that find no connection beyond which a router keeps to the hosts that it has one to,
-/// and how long one is taken to stand after an answer over it.
+const DOUBT_PART: f64 = 0.35;
+/// Share of deliveries without a connection from which a router keeps to hosts that it has one to, how long
+/// one is taken to stand after an answer, and seconds in which a load report loses most of its worth.
 const MOST_REFUSED: f64 = 0.15;
 const LINK_LASTS: Micros = 10 * SECOND;
-/// Seconds in which a load report loses most of what it says.
 const REPORT_FADES: f64 = 6.0;
-const DOUBT_PART: f64 = 0.35;
 
 #[derive(Default)]
 pub struct Router {
@@ -100,17 +99,16 @@
     seen: u32,
     seen_in_stage: u32,
     old_lag: f64,
-    /// Trial deliveries that the desk counted in this stage.
+    /// Of the desk's counts: trial deliveries in this stage, the end of the last period, what that and the
+    /// one before held of all builds, and what was usual.
     counted_in_stage: f64,
-    /// Of the desk's counts: when the last period ended, what it held of all builds, and what was usual.
     period: Micros,
     traffic: [f64; 2],
     usual_traffic: f64,
-    /// Own deliveries lost of late, and those of them that counted as failures of a build.
+    /// Of late: own deliveries lost, those of them that were a build's failures, the share of all without a
+    /// connection, and the mean of the load reports.
     losses: [f64; 2],
-    /// Share of late of the deliveries that found no connection.
     refused: f64,
-    /// Mean of late of what hosts report.
     busy: f64,
     vote: Option<(BuildId, u8, Verdict)>,
     vote_stands_until: Micros,
@@ -154,7 +152,9 @@
         }
         let back_share = f64::from(terms.back_votes) / f64::from(terms.fleet_size.max(1));
         let quorum = terms.gate != Gate::Single && terms.back_votes > 0;
-        let reported = (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5);
+        // Where a quorum decides, one report lets a router speak: false ones strike few at a time.
+        let alone = (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5);
+        let complaint_weight = if quorum { 1.3 * SEND_BACK_AT * (back_share / 0.2).min(1.0) } else { alone };
         Router {
             now,
             ops: terms.ops.iter().map(OpRules::new).collect(),
@@ -192,12 +192,7 @@
             go_wait: terms.stage_bake + SECOND,
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
-            // Where a quorum decides, one report lets a router speak: false ones strike few at a time.
-            complaint_weight: if quorum {
-                1.3 * SEND_BACK_AT * (back_share / 0.2).min(1.0)
-            } else {
-                reported
-            },
+            complaint_weight,
             wrong_margin: WRONG_MARGIN * if quorum { 2.0 } else { 1.0 },
             ..Router::default()
         }
@@ -322,21 +317,12 @@
         }
     }
 
-    /// Guards against queues so long that most is served too late, where traffic is too thin for a bound on what
-    /// is out: only the part that would bring the median time back to half the service target is taken. It
-    /// could harm where an op type is slow for a reason that shedding cannot mend.
+    /// Guards against queues so long that most is served too late, where traffic is too thin for a bound on
+    /// what is out: only what brings the median time back to half the service target is taken.
     fn strain(&self, op: usize) -> f64 {
-        let thin = CROWDED_PART * self.returns() < 2.0;
-        if thin {
-            self.ops[op].strain - STRAINED_PART.ln()
-        } else {
-            0.0
-        }
-    }
-
-    /// What comes back within a service target.
-    fn returns(&self) -> f64 {
-        self.ops.iter().map(|o| o.acks * o.target / SECOND as f64).sum()
+        let returns: f64 = self.ops.iter().map(|o| o.acks * o.target / SECOND as f64).sum();
+        let thin = CROWDED_PART * returns < 2.0 && self.detour(1, op) == 0.0;
+        [0.0, self.ops[op].strain - STRAINED_PART.ln()][usize::from(thin)]
     }
 
     /// Runs the chain for a command that is owed an answer; says whether a delivery went out.
@@ -350,7 +336,7 @@
                 full = true;
             } else if let Some(host) = self.place(cmd, build) {
                 if key.0 != 0 {
-                    // One delivery that goes back, after a failure or for want of room, takes no key off the trial.
+                    // One delivery that goes back takes no key off the trial.
                     let stays =
                         self.pins.get(&key).is_some_and(|p| build < p.build && self.on_trial(p.build));
                     let pin = self.pins.entry(key).or_default();
@@ -539,8 +525,8 @@
         if self.refused > MOST_REFUSED && pool.iter().any(linked) {
             pool.retain(linked);
         }
-        // What runs at most once is lost with a host that fails: it goes where answers come back. A host
-        // under suspicion is tried by a command that may be delivered again.
+        // What runs at most once goes where answers come back; a host under suspicion is tried by other
+        // commands.
         let proven = |h: &usize| self.hosts.strikes[*h] == 0;
         if (rules.repeat == Repeat::AtMostOnce || self.spare < 1.0) && pool.iter().any(proven) {
             pool.retain(proven);
@@ -564,7 +550,7 @@
         }
     }
 
-    /// Own commands in flight, weighed by how slowly the host has answered of late and, where it reports, by how long
+    /// Own commands in flight, weighed by how slowly the host answers and, where it reports, by how long
     /// others' commands make one wait. A report says less the older it is.
     fn press(&self, h: usize) -> f64 {
         let crawl = self.hosts.lag[h].clamp(0.0, 2.0).exp();
@@ -575,8 +561,7 @@
     }
 
     /// Guards against a new connection for nearly every command: a router with little traffic keeps to a few
-    /// hosts, its own by hash, enough that each host is met by many routers or its traffic by many hosts.
-    /// Answers how much more of the traffic its own hosts get for that.
+    /// hosts, its own by hash. Answers how much more of the traffic those get for that.
     fn keep_own(&self, hosts: &mut Vec<usize>) -> f64 {
         let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
         let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
@@ -589,9 +574,9 @@
     }
 
     /// Guards against piling up: no more is out than what lately came back within a part of the service
-    /// target, whatever slows the hosts. It could harm where answers return after a gap.
-    /// An op type that waits at every host alike is counted by itself, by the time that it takes: it would fill the
-    /// bound for all others while it hardly works the hosts.
+    /// target. It could harm where answers return after a gap. An op type that waits at every host alike is
+    /// counted by itself, by the time it takes: it would fill the bound for all others and hardly works the
+    /// hosts.
     fn crowded(&self, op: usize) -> bool {
         let base = 2.0 + 2.0 * self.ready().count() as f64 / self.fleet;
         let wait = self.detour(1, op);
@@ -614,10 +599,10 @@
         quiet > 6 * usual
     }
 
-    /// A fresh host gets no more in flight than its answers have earned, and over each span of the told length
-    /// a router's own part of what the fleet may send it, by what a whole host answers this router. A part
-    /// under one is drawn, so that the parts of many routers add up. What is sent counts: a host that errs
-    /// fast would else be sent any number. One that has failed gets one command at a time.
+    /// A fresh host gets no more in flight than its answers have earned, and over each told span a router's
+    /// own part of what the fleet may send it, by what a whole host answers this router. A part under one is
+    /// drawn, so that many add up. What is sent counts, for hosts that err fast. One that has failed gets one
+    /// command at a time.
     fn may_take(&self, h: usize, of_own: f64) -> bool {
         let (host, age) = (self.hosts.line[h].host.0, self.age(h));
         if age < self.warm_within + SECOND {
@@ -737,8 +722,7 @@
         }
     }
 
-    /// The memory counts from the first delivery, even where it has since been proven not to have run: it was
-    /// out when the next was sent.
+    /// The memory counts from the first delivery, whether or not it ran: it was out when the next was sent.
     fn may_redeliver(&self, c: &Command) -> bool {
         let rules = &self.ops[c.op];
         let ran = c.deliveries.iter().any(|d| d.may_have_run);
@@ -823,9 +807,8 @@
         ways[n] = if ways[n].is_nan() { 0.15 * late } else { ways[n] + 0.15 * (late - ways[n]) };
     }
 
-    /// By how much one zone, op type or customer is slower than the best, where that is far. Guards against a
-    /// slow or broken way between zones and against what waits at every host alike: neither is the host's doing
-    /// nor the build's. Where all are slow it says nothing.
+    /// By how much one zone, op type or customer is slower than the best, where that is far: a slow way, or
+    /// what waits at every host alike, is neither the host's doing nor the build's.
     fn detour(&self, kind: usize, n: usize) -> f64 {
         let best = self.ways[kind].iter().copied().fold(f64::INFINITY, f64::min);
         self.ways[kind].get(n).map(|way| way - best).filter(|&more| more > FAR).unwrap_or(0.0)
@@ -850,7 +833,6 @@
             DeliveryEnd::Reset if self.now >= self.hosts.shut_until[h] => 1.0,
             // A time that the client cut short says little.
             DeliveryEnd::TimedOut if (took as f64) < self.ops[op].target => return,
-            // Where an op type waits at every host alike, that is not the build's doing.
             DeliveryEnd::TimedOut if self.detour(1, op) > 0.0 => return self.learn_way(1, op, 2.0),
             // A full fleet times out too: that is slowness, which more traffic excuses, and no failure.
             DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes[h] == 0 => 0.0,
@@ -858,9 +840,6 @@
         };
         let acked = end == DeliveryEnd::Acked;
         self.losses[1] += failed;
-        if end == DeliveryEnd::TimedOut {
-            self.learn_way(1, op, 2.0);
-        }
         self.by_share.iter_mut().flatten().for_each(|n| *n *= 0.98);
         let erred = f64::from(u8::from(end == DeliveryEnd::Error));
         self.by_share[share] = [self.by_share[share][0] + 1.0, self.by_share[share][1] + erred];
@@ -906,8 +885,8 @@
         }
     }
 
-    /// What a failure or its absence proves for a customer whose commands err far beyond the others'. Guards
-    /// against commands that err at every host alike; it could harm where a build fails one customer only.
+    /// What a failure or its absence proves for a customer whose commands err far beyond the others', at
+    /// every host alike; it could harm where a build fails one customer only.
     fn proof(&self, share: usize) -> f64 {
         let [own, failed] = self.by_share[share];
         let others = self.by_share.iter().enumerate().filter(|(n, _)| *n != share);
@@ -916,9 +895,8 @@
         FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
 
-    /// A build is convicted by two in five of its hosts, and by two at least where it has three: each may bring
-    /// only its part. Guards against hosts that crash, hang, err or crawl, one or a third of them at once; it
-    /// could harm by a few more failures of a build that fails rarely and on many hosts.
+    /// Two in five of a build's hosts convict it, two at least of three: each may bring only its part. Guards
+    /// against hosts that crash, hang, err or crawl; it could harm where a build fails rarely on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
         let voices = [0.5, 0.5, 1.5].get(peers).copied();
@@ -948,24 +926,19 @@
         [self.flow[0] / filled.max(0.1), self.flow[1] / filled.max(0.1), 1.0].map(|n| n / able.max(1.0))
     }
 
-    /// The slowness that comes of more load, or of less capacity, than before the trial. What is asked may
-    /// have grown by the retries that slowness brings, so it excuses only up to a bound.
+    /// The slowness that more load or less capacity than before the trial explains; retries, up to a bound.
     fn by_load(&self) -> f64 {
         let (now, usual) = (self.load(), self.usual_load);
         let [asked, answered, lost] = [0, 1, 2].map(|n| 1.5 * (now[n] / usual[n].max(1e-9)).ln());
         let slower = asked.min(1.0).max(answered).max(lost).clamp(0.0, 1.5);
         // A fleet that sheds and yet answers as much as before is full: that is load, whatever was asked.
         let full = self.flow[2] > 0.05 * self.flow[0] && now[1] > 0.95 * usual[1];
-        if full {
-            1.5
-        } else {
-            slower * f64::from(u8::from(usual[1] > 0.0))
-        }
+        [slower * f64::from(u8::from(usual[1] > 0.0)), 1.5][usize::from(full)]
     }
 
-    /// Guards against a build that slows the earlier hosts too, and so spoils the comparison: from its trial
-    /// on, every answer counts against the time before, less what the traffic explains. Host troubles strike
-    /// some hosts and not most; it could harm where something else slows the whole fleet meanwhile.
+    /// Guards against a build that slows the earlier hosts too: from its trial on every answer counts against
+    /// the time before, less what the traffic explains. It could harm where something else slows the whole
+    /// fleet.
     fn judge_shared(&mut self, late: f64) {
         let judged = self.seen > 0 && self.usual_load[1] > 0.0;
         if judged && self.news.is_some_and(|n| !self.sent_back(n.build)) {
@@ -975,9 +948,9 @@
         }
     }
 
-    /// What the desk counted of all routers' deliveries: alike for all, it stands in for answers where a router sees
-    /// few of its own. Each period brings a part of the proof at most, so that one of trouble convicts nobody. Guards
-    /// against builds that no single router sees enough of; it could harm where troubles strike trial hosts only.
+    /// What the desk counted of all routers' deliveries: it stands in for answers where a router sees few of
+    /// its own. One period brings a part of the proof at most. Guards against builds that no single router
+    /// sees enough of; it could harm where troubles strike trial hosts only.
     pub fn counted(&mut self, count: DeskCount) {
         let (op, n) = (usize::from(count.op.0), f64::from(count.sampled));
         let Some(news) = self.news.filter(|_| op < self.ops.len() && n > 0.0) else { return };
@@ -992,9 +965,7 @@
         self.traffic[0] += n;
         let lost = f64::from(count.lost).min(n);
         let (acked, mean) = (n - lost, count.mean as f64 / SECOND as f64);
-        let waits = self.detour(1, op) > 0.0;
-        let last = self.sums.len() - 1;
-        let blamed = self.blamed();
+        let (waits, blamed, last) = (self.detour(1, op) > 0.0, self.blamed(), self.sums.len() - 1);
         let fewer = self.load()[2] / self.usual_load[2].max(1e-9);
         let rules = &mut self.ops[op];
         let [answered, time] = rules.counted;
@@ -1002,8 +973,7 @@
         // More traffic or fewer hosts than before the trial explain slowness.
         let more = fewer.max(self.traffic[1].max(self.traffic[0]) / self.usual_traffic.max(1.0));
         let more = 1.5 * more.ln().max(0.0);
-        let weight = COUNT_WEIGHT * acked / (acked + 12.0);
-        let usual = rules.counted_usual;
+        let (usual, weight) = (rules.counted_usual, COUNT_WEIGHT * acked / (acked + 12.0));
         if count.build < news.build || self.hosts.build.iter().all(|b| *b >= news.build) {
             rules.counted = [0.8 * answered + acked, 0.8 * time + mean * acked];
             rules.counted_lost = (lost / (n + 4.0)).max(0.8 * rules.counted_lost);
@@ -1068,8 +1038,8 @@
         let alike = if self.gate == Gate::Majority { 1 } else { self.fleet as u32 };
         let enough = (ENOUGH_ANSWERS * ENOUGH_ANSWERS / alike).clamp(1, ENOUGH_ANSWERS);
         let known = self.seen_in_stage >= enough || self.counted_in_stage >= f64::from(3 * enough);
-        // Where the earlier hosts stay until the release, a stage costs little to take back and its release much:
-        // a vote for the stage stands from its beginning, the one for the release waits for the whole traffic.
+        // Side by side a stage is cheaply taken back and a release is not: its vote waits for the whole
+        // traffic.
         let last = usize::from(news.stage) + 1 >= self.stage_shares.len();
         let due = match (self.rolling, last) {
             (true, _) => waited >= self.go_wait && known || waited >= 3 * self.go_wait,
@@ -1117,10 +1087,9 @@
         self.grow_lane();
         self.forget_window();
         let load = self.load();
-        // Guards against a storm, and against a fleet most of which has died: what is asked of the few hosts left
-        // is no measure of what a whole one can do, so it counts only until answers can; and what the dead have
-        // answered counts over the time that they lived. It could harm where traffic grows fast while hosts
-        // start: cold ones get more only as answers show it.
+        // Guards against a storm, and a fleet most of which has died: what is asked of the few hosts left
+        // counts only until answers can, and what the dead have answered over the time that they lived. It
+        // could harm where traffic grows fast while hosts start.
         let whole: f64 = self.ready().map(|h| self.warmth(h)).sum();
         self.lived = self.lived * fade.powf(0.25) + whole * (self.now - self.beaten) as f64 / SECOND as f64;
         let young = f64::from(u8::from(self.now < self.born + 5 * SECOND));
