Reports, counts and sizes cross the sockets; spokeflow-move carries a configuration over

Need: the module now reads load reports, the desk's counts, sizes of hosts and the votes that send back; the real router could pass on none of them, and operators have files of the old shape. Change: protocol version 2 with FromHost::Report, FromDesk::Counted and FromList::Sizes, at the end of their enums.

--- a/crates/spokeflow-engine/src/engine.rs
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeSet;
 
 use spokeflow_core::{
-    BuildId, CommandId, DeliveryEnd, HostId, HostLine, HostPhase, Key, ListKind, Micros, OpType, Router,
-    ServiceTerms, ShareId, StageNews, Standing, VoteAnswer, ZoneId,
+    BuildId, CommandId, DeliveryEnd, DeskCount, HostId, HostLine, HostPhase, Key, ListKind, Micros, OpType,
+    Router, ServiceTerms, ShareId, StageNews, Standing, VoteAnswer, ZoneId,
 };
 use spokeflow_proto::{
     BallotResult, Command, FrameFault, FromDesk, FromHost, FromList, Line, LinePhase, News, NewsStanding,
@@ -134,6 +134,14 @@
                     });
                 }
             }
+            Input::FromDesk(FromDesk::Counted(count)) => self.router.counted(DeskCount {
+                build: BuildId(count.build),
+                op: OpType(count.op),
+                sampled: count.sampled,
+                lost: count.lost,
+                mean: count.mean_us.min(Micros::MAX as u64 / 4) as Micros,
+                age: count.age_us.min(Micros::MAX as u64 / 4) as Micros,
+            }),
             Input::FromDesk(_) => {}
             Input::DeskGone => {
                 if self.book.ballot.take().is_some() {
@@ -231,6 +239,7 @@
                 self.book.answer(cmd, links, |id| ToClient::Acked { id, build, receipt, body });
                 self.ended(delivery, DeliveryEnd::Acked, links);
             }
+            FromHost::Report { busy } => self.router.reported(host, f64::from(busy) / 1000.0),
             FromHost::Error { delivery } if self.is_out(host, delivery) => {
                 self.ended(delivery, DeliveryEnd::Error, links);
             }
@@ -277,6 +286,7 @@
             FromList::Whole { version, lines } => (ListKind::Whole, version, lines),
             FromList::Changes { version, lines } => (ListKind::Changes, version, lines),
             FromList::Failed => return self.list_failed(),
+            FromList::Sizes { sizes } => return self.sizes(&sizes, links),
             FromList::Welcome | FromList::Refused(_) => return,
         };
         self.book.list_version = Some(version);
@@ -306,6 +316,18 @@
         self.router.listed(kind, &told, &mut Carrier { book: &mut self.book, links });
     }
 
+    /// What is no size, or of a host that no line has named, is passed over.
+    fn sizes(&mut self, sizes: &[(u32, f32)], links: &mut dyn Links) {
+        let mut told = Vec::new();
+        for (host, size) in sizes.iter().filter(|(_, size)| size.is_finite() && *size > 0.0) {
+            if let Some(place) = self.book.places.get_mut(&HostId(*host)) {
+                place.line.size = f64::from(*size);
+                told.push(place.line);
+            }
+        }
+        self.router.listed(ListKind::Changes, &told, &mut Carrier { book: &mut self.book, links });
+    }
+
     /// The module hears of failures only where it has to ask.
     fn list_failed(&mut self) {
         if self.terms.service.list_must_be_asked {
--- a/crates/spokeflow-proto/src/message.rs
+++ b/crates/spokeflow-proto/src/message.rs
@@ -6,8 +6,10 @@
 
 use crate::FrameFault;
 
-/// The version that a `Hello` names; a peer with another is refused.
-pub const VERSION: u16 = 1;
+/// The newest version that a `Hello` may name, and the oldest; a peer with another is refused. A router names the
+/// newest only where it wants what came with it: load reports, the desk's counts, sizes of hosts.
+pub const VERSION: u16 = 2;
+pub const OLDEST: u16 = 1;
 pub const MAGIC: [u8; 4] = *b"SPKF";
 
 /// Opens every connection; what is called answers with `Welcome` or `Refused`.
@@ -24,7 +26,17 @@
 
 impl Hello {
     pub fn new(role: Role, index: u32, zone: u16) -> Self {
-        Hello { magic: MAGIC, version: VERSION, role, index, zone }
+        Hello { magic: MAGIC, version: OLDEST, role, index, zone }
+    }
+
+    /// The same, asking for what came with the newest version.
+    pub fn wants_more(self) -> Self {
+        Hello { version: VERSION, ..self }
+    }
+
+    /// Whether the caller takes what came with the newest version; any other it does not know.
+    pub fn takes_more(&self) -> bool {
+        self.version >= VERSION
     }
 
     /// Whether this end can speak with the caller. Errors name what does not fit.
@@ -32,7 +44,7 @@
         if self.magic != MAGIC {
             return Err(FrameFault::NotSpokeflow);
         }
-        if self.version != VERSION {
+        if !(OLDEST..=VERSION).contains(&self.version) {
             return Err(FrameFault::WrongVersion(self.version));
         }
         if !role.contains(&self.role) {
@@ -170,6 +182,10 @@
         probe: u64,
     },
     Pong,
+    /// How busy the host's cores are, in thousandths; only to a caller of version 2.
+    Report {
+        busy: u16,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -209,9 +225,19 @@
 pub enum FromList {
     Welcome,
     Refused(Refused),
-    Whole { version: u64, lines: Vec<Line> },
-    Changes { version: u64, lines: Vec<Line> },
+    Whole {
+        version: u64,
+        lines: Vec<Line>,
+    },
+    Changes {
+        version: u64,
+        lines: Vec<Line>,
+    },
     Failed,
+    /// Host and its capacity against other hosts', in any unit; for hosts told before, only to a caller of version 2.
+    Sizes {
+        sizes: Vec<(u32, f32)>,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -250,6 +276,19 @@
     Refused,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    pub build: u16,
+    pub op: u16,
+    pub sampled: u32,
+    /// Those that did not end with an ack.
+    pub lost: u32,
+    /// Mean microseconds of the others.
+    pub mean_us: u64,
+    /// Microseconds since the period ended.
+    pub age_us: u64,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToDesk {
     Hello(Hello),
@@ -261,5 +300,11 @@
     Welcome,
     Refused(Refused),
     News(News),
-    Voted { ballot: u64, result: BallotResult },
+    Voted {
+        ballot: u64,
+        result: BallotResult,
+    },
+    /// One op type at one build, in a sample of all routers' deliveries over a past period; only to a caller of
+    /// version 2.
+    Counted(Count),
 }
--- a/crates/spokeflow-proto/tests/frames.rs
+++ b/crates/spokeflow-proto/tests/frames.rs
@@ -85,8 +85,9 @@
     let good = Hello::new(Role::Client, 0, 0);
     assert!(good.check(&[Role::Client]).is_ok());
     assert!(matches!(good.check(&[Role::Router]), Err(FrameFault::WrongRole)));
-    let newer = Hello { version: 2, ..good.clone() };
-    assert!(matches!(newer.check(&[Role::Client]), Err(FrameFault::WrongVersion(2))));
+    let newer = Hello { version: VERSION + 1, ..good.clone() };
+    assert!(good.clone().wants_more().check(&[Role::Client]).is_ok() && !good.takes_more());
+    assert!(matches!(newer.check(&[Role::Client]), Err(FrameFault::WrongVersion(3))));
     let other = Hello { magic: *b"HTTP", ..good };
     assert!(matches!(other.check(&[Role::Client]), Err(FrameFault::NotSpokeflow)));
 }
--- /dev/null
+++ b/crates/spokeflow-router/src/bin/spokeflow-move.rs
@@ -0,0 +1,22 @@
+use std::process::ExitCode;
+
+use clap::Parser;
+use spokeflow_router::carry::{carry, MoveProgram};
+
+/// Exit code 0: carried over, or it would be; 2: nothing written, each fault on a line of standard error.
+fn main() -> ExitCode {
+    let program = MoveProgram::parse();
+    match carry(&program) {
+        Ok((text, notes)) => {
+            if program.check {
+                print!("{text}");
+            }
+            notes.iter().for_each(|note| eprintln!("spokeflow-move: {note}"));
+            ExitCode::SUCCESS
+        }
+        Err(faults) => {
+            faults.0.iter().for_each(|fault| eprintln!("spokeflow-move: {fault}"));
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/spokeflow-router/src/serve.rs
+++ b/crates/spokeflow-router/src/serve.rs
@@ -188,19 +188,27 @@
         idle: terms.connection_idle,
         way_timeout: terms.way_timeout,
     });
+    let asking = |more: bool| match more {
+        true => Arc::new(LinkTerms { hello: links.hello.clone().wants_more(), ..(*links).clone() }),
+        false => links.clone(),
+    };
+    let service = &terms.service;
+    let to_hosts = asking(service.host_reports);
     let mut helpers = JoinSet::new();
     let (list, asked) = mpsc::channel(FEW);
     let (desk, votes) = mpsc::channel(FEW);
     let list_link = ListLink {
         address: terms.list,
-        terms: links.clone(),
+        terms: asking(service.host_sizes),
         renew: terms.list_renew,
         file: terms.list_file.clone(),
         core: core.clone(),
         asked,
     };
     helpers.spawn(list_link.run());
-    helpers.spawn(DeskLink { address: terms.desk, terms: links.clone(), core: core.clone(), votes }.run());
+    let desk_link =
+        DeskLink { address: terms.desk, terms: asking(service.desk_counts), core: core.clone(), votes };
+    helpers.spawn(desk_link.run());
     let mut peers = HashMap::new();
     for &(index, address) in &terms.peers {
         let (tell, texts) = mpsc::channel(FEW);
@@ -216,7 +224,7 @@
         list,
         desk,
         peers,
-        links,
+        links: to_hosts,
         host_queue: terms.host_queue,
         drain_grace: terms.service.drain_grace,
     };
--- a/crates/spokeflow-router/src/terms.rs
+++ b/crates/spokeflow-router/src/terms.rs
@@ -132,6 +132,15 @@
     /// Routers whose votes send a build back; 0 where the desk does not say
     #[arg(long, env = "SPOKEFLOW_BACK_VOTES", default_value_t = 0)]
     pub back_votes: u32,
+    /// Asks hosts for load reports (protocol version 2); an older host refuses the connection
+    #[arg(long, env = "SPOKEFLOW_HOST_REPORTS")]
+    pub host_reports: bool,
+    /// Asks the desk for its counts of all routers' deliveries (protocol version 2); an older desk refuses
+    #[arg(long, env = "SPOKEFLOW_DESK_COUNTS")]
+    pub desk_counts: bool,
+    /// Asks the list for the sizes of hosts (protocol version 2); an older list refuses
+    #[arg(long, env = "SPOKEFLOW_HOST_SIZES")]
+    pub host_sizes: bool,
 }
 
 /// One router of the deployment.
@@ -344,6 +353,8 @@
         faults.when(caps != shares, "stage-cap", format!("{caps} stages, but --stage-share has {shares}"));
         let guarded = usize::from(self.guarded_stages);
         faults.when(guarded > caps, "guarded-stages", format!("{guarded} of {caps} stages"));
+        let votes = self.back_votes;
+        faults.when(votes > self.fleet_size, "back-votes", format!("{votes} of {} routers", self.fleet_size));
         let life = self.vote_life;
         faults.when(self.vote_wait >= life, "vote-wait", format!("shorter than --vote-life {life:?}"));
     }
