Answers, not deliveries, excuse shared slowness; few votes want more own slowness

Ruled out: lost votes, failures (0.0), the cap. Lines at fault: counted (traffic of all sampled, hosts set aside without bound), judge_shared and judge's slowness where 5% of the routers decide. Change: the excuse counts answers, and fit hosts up to 1.4 times fewer; what speaks for slowness of one's own weighs back_votes / (0.2 of the routers) where that is under one.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -29,6 +29,8 @@
 /// What the desk's counts of one op type and period weigh, and slowness there that is laid to chance.
 const COUNT_WEIGHT: f64 = 1.5;
 const COUNT_MARGIN: f64 = 0.3;
+/// How many times fewer fit hosts than before the trial excuse at most.
+const MOST_FEWER: f64 = 1.4;
 const SEND_BACK_AT: f64 = 4.0;
 const HOLD_AT: f64 = 2.0;
 const QUIET_BELOW: f64 = 1.0;
@@ -82,7 +84,7 @@
     spare: f64,
     beaten: Micros,
     swept: Micros,
-    // Sums: failures of each op type, own slowness, reported wrong answers, slowness that all hosts share.
+    // Failures of each op type, own slowness, reported wrong answers, slowness that all hosts share.
     sums: Vec<f64>,
     old_fails: Vec<f64>,
     /// By customer, answers and failures of late at hosts of any build.
@@ -140,6 +142,8 @@
     go_wait: Micros,
     vote_life: Micros,
     vote_wait: Micros,
+    /// Less than 1 where so few routers send a build back that the hastiest would decide for all.
+    few: f64,
     complaint_weight: f64,
     wrong_margin: f64,
 }
@@ -150,11 +154,12 @@
         if terms.list_must_be_asked {
             out.watch_list();
         }
-        let back_share = f64::from(terms.back_votes) / f64::from(terms.fleet_size.max(1));
         let quorum = terms.gate != Gate::Single && terms.back_votes > 0;
+        let share = f64::from(terms.back_votes) / f64::from(terms.fleet_size.max(1));
+        let few = if quorum { (share / 0.2).min(1.0) } else { 1.0 };
         // Where a quorum decides, one report lets a router speak: false ones strike few at a time.
         let alone = (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5);
-        let complaint_weight = if quorum { 1.3 * SEND_BACK_AT * (back_share / 0.2).min(1.0) } else { alone };
+        let complaint_weight = if quorum { 1.3 * SEND_BACK_AT * few } else { alone };
         Router {
             now,
             ops: terms.ops.iter().map(OpRules::new).collect(),
@@ -192,6 +197,7 @@
             go_wait: terms.stage_bake + SECOND,
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
+            few,
             complaint_weight,
             wrong_margin: WRONG_MARGIN * if quorum { 2.0 } else { 1.0 },
             ..Router::default()
@@ -317,8 +323,8 @@
         }
     }
 
-    /// Guards against queues so long that most is served too late, where traffic is too thin for a bound on
-    /// what is out: only what brings the median time back to half the service target is taken.
+    /// Guards against queues so long that most is served too late, where traffic is too thin for a bound:
+    /// only what brings the median time back to half the service target is taken.
     fn strain(&self, op: usize) -> f64 {
         let returns: f64 = self.ops.iter().map(|o| o.acks * o.target / SECOND as f64).sum();
         let thin = CROWDED_PART * returns < 2.0 && self.detour(1, op) == 0.0;
@@ -600,9 +606,8 @@
     }
 
     /// A fresh host gets no more in flight than its answers have earned, and over each told span a router's
-    /// own part of what the fleet may send it, by what a whole host answers this router. A part under one is
-    /// drawn, so that many add up. What is sent counts, for hosts that err fast. One that has failed gets one
-    /// command at a time.
+    /// own part of what the fleet may send it. Parts under one are drawn, so that many add up. What is sent
+    /// counts, for hosts that err fast. One that has failed gets one command at a time.
     fn may_take(&self, h: usize, of_own: f64) -> bool {
         let (host, age) = (self.hosts.line[h].host.0, self.age(h));
         if age < self.warm_within + SECOND {
@@ -831,7 +836,6 @@
             // One crash breaks all that was out at the host: that is one failure; a time-out is none where
             // the host has answered nobody meanwhile.
             DeliveryEnd::Reset if self.now >= self.hosts.shut_until[h] => 1.0,
-            // A time that the client cut short says little.
             DeliveryEnd::TimedOut if (took as f64) < self.ops[op].target => return,
             DeliveryEnd::TimedOut if self.detour(1, op) > 0.0 => return self.learn_way(1, op, 2.0),
             // A full fleet times out too: that is slowness, which more traffic excuses, and no failure.
@@ -870,7 +874,8 @@
             self.add(h, op, gain * self.proof(share));
             if known {
                 let excused = self.old_lag.max(self.by_load());
-                self.add(h, self.ops.len(), LATE_WEIGHT * (late - excused - LATE_MARGIN));
+                let gain = LATE_WEIGHT * (late - excused - LATE_MARGIN);
+                self.add(h, self.ops.len(), gain.min(self.few * gain));
             }
             return;
         }
@@ -885,8 +890,7 @@
         }
     }
 
-    /// What a failure or its absence proves for a customer whose commands err far beyond the others', at
-    /// every host alike; it could harm where a build fails one customer only.
+    /// What a failure proves for a customer whose commands err at every host, far beyond the others'.
     fn proof(&self, share: usize) -> f64 {
         let [own, failed] = self.by_share[share];
         let others = self.by_share.iter().enumerate().filter(|(n, _)| *n != share);
@@ -895,13 +899,12 @@
         FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
 
-    /// Two in five of a build's hosts convict it, two at least of three: each may bring only its part. Guards
-    /// against hosts that crash, hang, err or crawl; it could harm where a build fails rarely on many hosts.
+    /// Two in five of a build's hosts convict it, two at least of three, for slowness always: each may bring
+    /// only its part. It could harm where a build fails rarely on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
         let voices = [0.5, 0.5, 1.5].get(peers).copied();
         let voices = voices.unwrap_or((0.4 * peers as f64).clamp(2.0, MOST_VOICES));
-        // A lone host that is slow may have a neighbour; what it costs to wait for a second one is little.
         let most = SEND_BACK_AT / if which == self.ops.len() { voices.max(1.5) } else { voices };
         let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
         self.hosts.blame[h] = (self.hosts.blame[h] + gain).max(0.0);
@@ -921,7 +924,6 @@
     fn load(&self) -> [f64; 3] {
         let open = |h: &usize| self.hosts.strikes[*h] == 0 && self.now >= self.hosts.shut_until[*h];
         let able: f64 = self.ready().filter(open).map(|h| self.warmth(h)).sum();
-        // The fading counts of a young router have not filled up yet.
         let filled = 1.0 - (-(self.now - self.born) as f64 / (4 * SECOND) as f64).exp();
         [self.flow[0] / filled.max(0.1), self.flow[1] / filled.max(0.1), 1.0].map(|n| n / able.max(1.0))
     }
@@ -937,14 +939,13 @@
     }
 
     /// Guards against a build that slows the earlier hosts too: from its trial on every answer counts against
-    /// the time before, less what the traffic explains. It could harm where something else slows the whole
-    /// fleet.
+    /// the time before, less what traffic explains. It could harm where else the whole fleet slows.
     fn judge_shared(&mut self, late: f64) {
         let judged = self.seen > 0 && self.usual_load[1] > 0.0;
         if judged && self.news.is_some_and(|n| !self.sent_back(n.build)) {
             let gain = LATE_WEIGHT * (late.min(1.5) - self.by_load() - LATE_MARGIN);
             let sum = self.sums.last_mut().expect("made at start");
-            *sum = (*sum + gain).max(0.0);
+            *sum = (*sum + gain.min(self.few * gain)).max(0.0);
         }
     }
 
@@ -962,15 +963,15 @@
             }
             (self.period, self.traffic) = (ended, [0.0, self.traffic[0]]);
         }
-        self.traffic[0] += n;
         let lost = f64::from(count.lost).min(n);
         let (acked, mean) = (n - lost, count.mean as f64 / SECOND as f64);
+        self.traffic[0] += acked;
         let (waits, blamed, last) = (self.detour(1, op) > 0.0, self.blamed(), self.sums.len() - 1);
-        let fewer = self.load()[2] / self.usual_load[2].max(1e-9);
+        let fewer = (self.load()[2] / self.usual_load[2].max(1e-9)).min(MOST_FEWER);
         let rules = &mut self.ops[op];
         let [answered, time] = rules.counted;
         let slower = |usual: f64| (mean.max(1e-6) / usual.max(1e-6)).ln().clamp(-2.0, 2.0);
-        // More traffic or fewer hosts than before the trial explain slowness.
+        // More answers or fewer hosts than before explain slowness; losses may be the build's own doing.
         let more = fewer.max(self.traffic[1].max(self.traffic[0]) / self.usual_traffic.max(1.0));
         let more = 1.5 * more.ln().max(0.0);
         let (usual, weight) = (rules.counted_usual, COUNT_WEIGHT * acked / (acked + 12.0));
@@ -1007,7 +1008,6 @@
         let build = self.hosts.build[h];
         let before = self.hosts.line[h].started.is_some_and(|at| self.now - since < at);
         if !before && self.news.is_some_and(|n| build >= n.build) && !self.sent_back(build) {
-            // Reports are few, and the many good answers between them must not wash them out.
             self.sums[self.ops.len() + 1] += self.complaint_weight;
         }
     }
@@ -1087,9 +1087,9 @@
         self.grow_lane();
         self.forget_window();
         let load = self.load();
-        // Guards against a storm, and a fleet most of which has died: what is asked of the few hosts left
-        // counts only until answers can, and what the dead have answered over the time that they lived. It
-        // could harm where traffic grows fast while hosts start.
+        // Guards against a storm, and a fleet most of which has died: what is asked counts only until answers
+        // can, and what the dead have answered over the time they lived. It could harm where traffic grows
+        // fast.
         let whole: f64 = self.ready().map(|h| self.warmth(h)).sum();
         self.lived = self.lived * fade.powf(0.25) + whole * (self.now - self.beaten) as f64 / SECOND as f64;
         let young = f64::from(u8::from(self.now < self.born + 5 * SECOND));
--- a/crates/spokeflow-core/tests/plain.rs
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -240,6 +240,7 @@
         ("lost at both builds alike", (28, 10, 80 * MS), (12, 3, 80 * MS), false),
         ("slow", (28, 0, 80 * MS), (12, 0, 240 * MS), true),
         ("slows all", (28, 0, 240 * MS), (12, 0, 240 * MS), true),
+        ("slows all, most is lost and asked again", (60, 40, 240 * MS), (24, 16, 240 * MS), true),
         ("slower as traffic doubles", (80, 0, 160 * MS), (24, 0, 160 * MS), false),
     ];
     for (what, old, new, back) in cases {
@@ -271,6 +272,21 @@
     }
 }
 
+#[test]
+fn where_few_votes_send_back_own_slowness_weighs_less() {
+    let until_back = |back_votes| {
+        let (mut router, mut ledger) =
+            fleet(Gate::Clocked, |t| (t.fleet_size, t.back_votes) = (100, back_votes));
+        let from = ledger.now;
+        while votes(&ledger, Verdict::Back) == 0 && ledger.now < from + 30 * SECOND {
+            serve(&mut router, &mut ledger, 100 * MS, |_, _, _| (DeliveryEnd::Acked, 190 * MS));
+        }
+        ledger.now - from
+    };
+    let (many, few) = (until_back(25), until_back(3));
+    assert!(many < 5 * SECOND && few >= many + 400 * MS, "{many} {few}");
+}
+
 #[test]
 fn an_op_type_that_waits_at_every_host_is_no_bad_build() {
     let (mut router, mut ledger) = fleet(Gate::Clocked, |_| {});
