--- a/crates/spokeflow-router/src/terms.rs
+++ b/crates/spokeflow-router/src/terms.rs
@@ -67,7 +67,7 @@
     /// Hosts may be probed
     #[arg(long, env = "SPOKEFLOW_MAY_PROBE")]
     pub may_probe: bool,
-    /// Routers may tell each other what they see (see --peer)
+    /// Has no effect any more: routers tell each other nothing
     #[arg(long, env = "SPOKEFLOW_MAY_TELL")]
     pub may_tell: bool,
     /// Longest time that a nack names to come back; 0s names none
