Tests of linked hosts and of answers as excuse made to bite

Need: with the link guard taken out its test still passed, and so did the case of lost and repeated commands when deliveries excused slowness again.

--- a/crates/spokeflow-core/tests/plain.rs
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -240,7 +240,7 @@
         ("lost at both builds alike", (28, 10, 80 * MS), (12, 3, 80 * MS), false),
         ("slow", (28, 0, 80 * MS), (12, 0, 240 * MS), true),
         ("slows all", (28, 0, 240 * MS), (12, 0, 240 * MS), true),
-        ("slows all, most is lost and asked again", (60, 40, 240 * MS), (24, 16, 240 * MS), true),
+        ("slows all, most is lost and asked again", (60, 40, 240 * MS), (24, 14, 240 * MS), true),
         ("slower as traffic doubles", (80, 0, 160 * MS), (24, 0, 160 * MS), false),
     ];
     for (what, old, new, back) in cases {
@@ -317,17 +317,17 @@
 
 #[test]
 fn where_hosts_take_no_new_connection_a_router_keeps_to_those_that_answer() {
-    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
-    let squeezed = |host: HostId, _, _| match host.0 % 3 {
+    let (mut router, mut ledger) = Ledger::start(terms(Gate::Single), 5);
+    ledger.tell(&mut router, news(OLD, 2, Standing::Released, 1.0));
+    let hosts: Vec<HostLine> = (0..60).map(|h| line(h, OLD)).collect();
+    ledger.list(&mut router, ListKind::Remembered, &hosts);
+    serve(&mut router, &mut ledger, 3 * SECOND, |host, _, _| match host.0 % 3 {
         0 => GOOD,
         _ => (DeliveryEnd::NotConnected, 5 * MS),
-    };
-    serve(&mut router, &mut ledger, 4 * SECOND, squeezed);
-    let from = ledger.now;
-    serve(&mut router, &mut ledger, 4 * SECOND, squeezed);
-    let sent: Vec<_> = ledger.owed.values().flat_map(|o| &o.sent).filter(|s| s.at > from).collect();
-    let refused = sent.iter().filter(|s| s.host.0 % 3 != 0).count();
-    assert!(refused * 20 < sent.len(), "{refused} of {} refused", sent.len());
+    });
+    let sent = || ledger.owed.values().flat_map(|o| &o.sent);
+    let refused = sent().filter(|s| s.host.0 % 3 != 0).count();
+    assert!(refused * 4 < sent().count(), "{refused} of {} refused", sent().count());
 }
 
 #[test]
