--- a/crates/spokeflow-engine/src/engine.rs
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -104,6 +104,10 @@
                 let (host, sent) = (HostId((receipt >> 32) as u32), (receipt as u32 as Micros) * 1000);
                 self.router.disputed(host, (self.book.now - self.book.born - sent).max(0));
             }
+            Input::Reported { host, ago_us } => {
+                let ago = ago_us.min(Micros::MAX as u64 / 4) as Micros;
+                self.router.disputed(HostId(host), ago);
+            }
             Input::FromHost { host, message } => self.hear_host(HostId(host), message, links),
             Input::NotDelivered { host, delivery, end } => {
                 if self.is_out(HostId(host), delivery) {
--- a/crates/spokeflow-engine/src/input.rs
+++ b/crates/spokeflow-engine/src/input.rs
@@ -47,6 +47,12 @@
     /// Takes no more commands.
     Close,
     Wake,
+    /// Word came from elsewhere than the client that an answer of this host was wrong, to a delivery sent so many
+    /// microseconds ago.
+    Reported {
+        host: u32,
+        ago_us: u64,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/spokeflow-platform/src/clients.rs
@@ -0,0 +1,354 @@
+//! Connections that clients make: one request at a time on each, read whole, checked, and handed to the engine's
+//! task; what cannot be a command is turned away here and reaches nothing else.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU8, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use spokeflow_core::Repeat;
+use spokeflow_http::{Answer, HttpFault, Request, ServerCodec};
+use spokeflow_proto::{Command, ToClient};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio_util::codec::Framed;
+use tokio_util::task::TaskTracker;
+use tracing::{debug, info, warn};
+
+use crate::serve::Arrival;
+use crate::Clock;
+
+/// Bytes of a body at most, as the platform says.
+pub const BODY_LIMIT: usize = 64 << 10;
+/// A connection that has said nothing whole for so long is closed; the platform allows it from 2 s on.
+const SILENT: Duration = Duration::from_secs(2);
+/// A connection that had its answers and is used no more is closed, if room has not been wanted before.
+const UNUSED: Duration = Duration::from_secs(15);
+/// A client that takes no byte of its answer for so long is closed.
+const STALL: Duration = Duration::from_secs(5);
+/// For so long what a refused client still sends is read and dropped, so that it gets to read why.
+const LINGER: Duration = Duration::from_millis(100);
+/// Bytes kept ready for each direction of a connection.
+const ROOM: usize = 2 << 10;
+/// Bytes that the system keeps for a client that sends faster than it is read.
+const SYSTEM_QUEUE: u32 = 64 << 10;
+
+/// What a request is checked against, and how it is worded for the module.
+pub struct Desk {
+    pub ops: HashMap<Bytes, (u16, Repeat)>,
+    pub customers: HashMap<Bytes, u32>,
+}
+
+/// What the front and the clients are told without the engine.
+pub struct House {
+    pub desk: Desk,
+    pub clock: Arc<Clock>,
+    pub core: mpsc::Sender<Arrival>,
+    /// Whether commands can be served.
+    pub up: AtomicBool,
+    /// Set from the moment on from which idle connections are closed for good.
+    pub leaving: watch::Receiver<bool>,
+}
+
+const FRESH: u8 = 0;
+const BUSY: u8 = 1;
+const IDLE: u8 = 2;
+
+/// How one connection stands, for the choice of one to close when room is wanted.
+struct Seat {
+    standing: AtomicU8,
+    since: AtomicI64,
+    asked_to_leave: Notify,
+}
+
+impl Seat {
+    fn stands(&self, standing: u8, clock: &Clock) {
+        self.standing.store(standing, Ordering::Relaxed);
+        self.since.store(clock.now(), Ordering::Relaxed);
+    }
+}
+
+pub struct Accepting {
+    pub listener: TcpListener,
+    pub house: Arc<House>,
+    /// Connections at most; for one more, one that has no open command is closed.
+    pub places: usize,
+    pub clients: TaskTracker,
+}
+
+impl Accepting {
+    pub async fn run(self) {
+        let mut seats: Vec<Arc<Seat>> = Vec::new();
+        let mut conn = 0;
+        loop {
+            let stream = match self.listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    // Out of descriptors, most likely: trying at once again would only spin.
+                    warn!(%e, "cannot accept");
+                    sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            };
+            while seats.len() >= self.places {
+                seats.retain(|seat| Arc::strong_count(seat) > 1);
+                if seats.len() >= self.places {
+                    make_room(&mut seats);
+                    // Whoever left has to be scheduled to go.
+                    sleep(Duration::from_millis(1)).await;
+                }
+            }
+            conn += 1;
+            let seat = Arc::new(Seat {
+                standing: AtomicU8::new(FRESH),
+                since: AtomicI64::new(self.house.clock.now()),
+                asked_to_leave: Notify::new(),
+            });
+            seats.push(seat.clone());
+            self.clients.spawn(Client { conn, house: self.house.clone(), seat }.run(stream));
+        }
+    }
+}
+
+/// Asks one connection to go: the one that has longest said nothing since it came, else the one longest unused.
+fn make_room(seats: &mut [Arc<Seat>]) {
+    let standing = |seat: &Arc<Seat>| seat.standing.load(Ordering::Relaxed);
+    let free = seats.iter().filter(|seat| standing(seat) != BUSY);
+    if let Some(seat) = free.min_by_key(|seat| (standing(seat), seat.since.load(Ordering::Relaxed))) {
+        seat.asked_to_leave.notify_one();
+    }
+}
+
+struct Client {
+    conn: u64,
+    house: Arc<House>,
+    seat: Arc<Seat>,
+}
+
+type Link = Framed<TcpStream, ServerCodec>;
+
+/// What one request comes to before the engine.
+enum Checked {
+    Command { id: Bytes, command: Command },
+    Answer(Answer),
+}
+
+impl Client {
+    async fn run(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut link = Framed::with_capacity(stream, ServerCodec::new(BODY_LIMIT), ROOM);
+        let (mut asked, mut spoke) = (false, false);
+        if let Err(fault) = self.serve(&mut link, &mut asked, &mut spoke).await {
+            if let Some(kept_back) = self.house.clock.line() {
+                info!(conn = self.conn, kept_back, %fault, "client refused");
+            }
+            if let Some(status) = fault.status() {
+                self.seat.stands(FRESH, &self.house.clock);
+                let refusal = Answer { status, close: true, ..Answer::default() };
+                let _ = timeout(LINGER, link.send(refusal)).await;
+                linger(link.get_mut()).await;
+            }
+        }
+        if asked {
+            let _ = self.house.core.send(Arrival::ClientGone(self.conn)).await;
+        }
+    }
+
+    /// `asked`: whether the engine knows this connection; `spoke`: whether a whole request has come on it.
+    async fn serve(&self, link: &mut Link, asked: &mut bool, spoke: &mut bool) -> Result<(), HttpFault> {
+        let mut next = None;
+        let mut leaving = self.house.leaving.clone();
+        let mut n = 0;
+        loop {
+            let standing = if *spoke { IDLE } else { FRESH };
+            self.seat.stands(standing, &self.house.clock);
+            let until = Instant::now() + if *spoke { UNUSED } else { SILENT };
+            let request = match next.take() {
+                Some(read) => read,
+                None => tokio::select! {
+                    biased;
+                    read = link.next() => match read {
+                        Some(read) => read,
+                        None => return Ok(()),
+                    },
+                    _ = self.seat.asked_to_leave.notified() => return Ok(()),
+                    left = leaving.wait_for(|l| *l) => {
+                        let _ = left;
+                        return Ok(());
+                    }
+                    _ = sleep_until(until) => {
+                        let begun = !link.read_buffer().is_empty();
+                        return if begun { Err(HttpFault::Unreadable("it does not go on")) } else { Ok(()) };
+                    }
+                },
+            }?;
+            let stays = request.stays;
+            let mut answer = match self.check(request) {
+                Checked::Answer(answer) => answer,
+                Checked::Command { id, mut command } => {
+                    (*asked, *spoke) = (true, true);
+                    self.seat.stands(BUSY, &self.house.clock);
+                    n += 1;
+                    command.id = n;
+                    let (tell, told) = oneshot::channel();
+                    let arrival = Arrival::Command { conn: self.conn, id, command, answer: tell };
+                    if self.house.core.send(arrival).await.is_err() {
+                        return Ok(());
+                    }
+                    let message = {
+                        tokio::pin!(told);
+                        loop {
+                            tokio::select! {
+                                biased;
+                                message = &mut told => break message,
+                                read = link.next(), if next.is_none() => match read {
+                                    // Whoever closes has gone away and waits for nothing.
+                                    None | Some(Err(HttpFault::Truncated | HttpFault::Io(_))) => return Ok(()),
+                                    more => next = more,
+                                },
+                            }
+                        }
+                    };
+                    match message {
+                        Ok(message) => worded(message),
+                        Err(_) => Answer { status: 500, ..Answer::default() },
+                    }
+                }
+            };
+            answer.close |= !stays || self.house.clock.ending();
+            let close = answer.close;
+            timeout(STALL, link.send(answer)).await.map_err(|_| HttpFault::Truncated)??;
+            if close {
+                linger(link.get_mut()).await;
+                return Ok(());
+            }
+        }
+    }
+
+    /// What is no command of this deployment is told so, and its connection ends with that.
+    fn check(&self, request: Request) -> Checked {
+        let no = |status| Checked::Answer(Answer { status, close: true, ..Answer::default() });
+        if request.target.as_ref() == b"/up" {
+            let up = self.house.up.load(Ordering::Relaxed) && !self.house.clock.ending();
+            return Checked::Answer(Answer { status: if up { 200 } else { 503 }, ..Answer::default() });
+        }
+        let word = |name| request.fields.only(name).filter(|v| !v.is_empty());
+        let (Some(id), Some(op), Some(customer), Some(left)) =
+            (word("request-id"), word("request-class"), word("tenant"), word("request-timeout"))
+        else {
+            return no(400);
+        };
+        let (Some(&(op_type, repeat)), Some(&share), Some(left_us)) =
+            (self.house.desk.ops.get(op), self.house.desk.customers.get(customer), patience(left))
+        else {
+            return no(400);
+        };
+        let plain = |b: &u8| b.is_ascii_alphanumeric() || b"-_.:".contains(b);
+        if id.len() > 64 || !id.iter().all(plain) {
+            return no(400);
+        }
+        // What may run again is asked by GET and has no body; what must not, by POST.
+        let method: &[u8] = if repeat == Repeat::Redeliverable { b"GET" } else { b"POST" };
+        if request.method != method {
+            return no(405);
+        }
+        if repeat == Repeat::Redeliverable && !request.body.is_empty() {
+            return no(400);
+        }
+        let path = request.target.split(|b| *b == b'?').next().unwrap_or_default();
+        let mut parts = path.strip_prefix(b"/").unwrap_or(b"").splitn(2, |b| *b == b'/');
+        if parts.next() != Some(op.as_ref()) {
+            return no(404);
+        }
+        let key = parts.next().and_then(|rest| rest.rsplit(|b| *b == b'/').next()).unwrap_or_default();
+        let command = Command {
+            id: 0,
+            op: op_type,
+            share,
+            key: if key.is_empty() { 0 } else { key_of(key) },
+            mark: 0,
+            left_us,
+            body: forwarded(&request, id, op, customer),
+        };
+        Checked::Command { id: id.clone(), command }
+    }
+}
+
+/// Reads and drops for a short time what a client still sends, so that the answer is not taken back by a reset.
+async fn linger(stream: &mut TcpStream) {
+    let _ = timeout(LINGER, async {
+        stream.shutdown().await?;
+        let mut rest = [0; 4096];
+        for _ in 0..32 {
+            if stream.read(&mut rest).await? == 0 {
+                break;
+            }
+        }
+        std::io::Result::Ok(())
+    })
+    .await;
+}
+
+fn worded(message: ToClient) -> Answer {
+    match message {
+        ToClient::Acked { body, .. } => Answer { status: 200, body, ..Answer::default() },
+        ToClient::Nacked { come_back_us, .. } => {
+            Answer { status: 503, retry_after: come_back_us.map(|us| us as f64 / 1e6), ..Answer::default() }
+        }
+        ToClient::Refused(refused) => {
+            debug!(refused.text, "command refused");
+            Answer { status: 409, close: true, ..Answer::default() }
+        }
+        _ => Answer { status: 502, ..Answer::default() },
+    }
+}
+
+/// `480m` milliseconds or `480u` microseconds.
+fn patience(text: &Bytes) -> Option<u64> {
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let digits =
+        !number.is_empty() && number.len() <= 12 && number.iter().all(|b| b.is_ascii_digit() || *b == b'.');
+    let number: f64 = std::str::from_utf8(number).ok().filter(|_| digits)?.parse().ok()?;
+    let us = match unit {
+        b"m" => number * 1e3,
+        b"u" => number,
+        _ => return None,
+    };
+    (us >= 1.0).then_some(us as u64)
+}
+
+/// FNV-1a, 64 bits: the same key, the same number at every router. Never 0, which says that there is none.
+fn key_of(key: &[u8]) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
+    key.iter().fold(0xcbf2_9ce4_8422_2325, step).max(1)
+}
+
+/// The request as hosts get it, but for the time left, which stands after the first line and is not known before
+/// it is sent.
+fn forwarded(request: &Request, id: &[u8], op: &[u8], customer: &[u8]) -> Bytes {
+    let mut to = BytesMut::with_capacity(192 + request.target.len() + request.body.len());
+    let mut put = |parts: &[&[u8]]| parts.iter().for_each(|part| to.put_slice(part));
+    put(&[&request.method, b" ", &request.target, b" HTTP/1.1\r\n"]);
+    let host = request.fields.only("host").map_or(&b"origin.svc"[..], |h| h);
+    put(&[b"Host: ", host, b"\r\nRequest-Id: ", id, b"\r\nRequest-Class: ", op]);
+    put(&[b"\r\nTenant: ", customer, b"\r\n"]);
+    if request.method != b"GET"[..] {
+        put(&[b"Content-Length: ", request.body.len().to_string().as_bytes(), b"\r\n"]);
+    }
+    put(&[b"\r\n", &request.body]);
+    to.freeze()
+}
+
+/// Listens with little room for what is not read, so that what clients send at full speed waits with them.
+pub fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket =
+        if address.is_ipv4() { tokio::net::TcpSocket::new_v4()? } else { tokio::net::TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(SYSTEM_QUEUE)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
--- /dev/null
+++ b/crates/spokeflow-platform/src/hosts.rs
@@ -0,0 +1,234 @@
+//! Deliveries to hosts: one task for each, on a connection that carries nothing else meanwhile. A delivery counts as
+//! sent from the moment the system has taken its last byte; all that fails before proves that it never ran.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use spokeflow_core::HostId;
+use spokeflow_engine::{Input, NoAnswer};
+use spokeflow_http::{AnswerCodec, HttpFault, Part};
+use spokeflow_proto::FromHost;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
+use tokio::time::{timeout, Instant};
+use tokio_util::codec::Decoder;
+use tracing::{debug, info};
+
+use crate::clients::BODY_LIMIT;
+use crate::serve::Arrival;
+use crate::Clock;
+
+/// Bytes kept ready for what comes back on a connection.
+const ROOM: usize = 2 << 10;
+
+/// A connection to a host, with its place among those that the descriptors allow.
+pub struct Connection {
+    stream: TcpStream,
+    _place: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    /// Whether nothing has come since its last answer, and no end: what has come belongs to no command.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Connections of one host that carry nothing, the longest unused first.
+#[derive(Default)]
+pub struct Unused(VecDeque<(Instant, Connection)>);
+
+impl Unused {
+    pub fn keep(&mut self, connection: Connection) {
+        self.0.push_back((Instant::now(), connection));
+    }
+
+    /// The one used last that still stands.
+    pub fn take(&mut self) -> Option<Connection> {
+        while let Some((_, connection)) = self.0.pop_back() {
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Closes those unused for longer than `most`; each look ends at the first that is not.
+    pub fn expire(&mut self, most: Duration) {
+        while self.0.front().is_some_and(|(since, _)| since.elapsed() > most) {
+            self.0.pop_front();
+        }
+    }
+
+    pub fn oldest(&self) -> Option<Instant> {
+        self.0.front().map(|(since, _)| *since)
+    }
+
+    pub fn drop_oldest(&mut self) {
+        self.0.pop_front();
+    }
+
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+}
+
+/// How connections are made and answers awaited.
+pub struct Ways {
+    pub clock: Arc<Clock>,
+    pub core: mpsc::Sender<Arrival>,
+    /// A connection has to stand within this time; so has an answer, once begun, to come whole.
+    pub connect_timeout: Duration,
+}
+
+/// One delivery on its way.
+pub struct Attempt {
+    pub ways: Arc<Ways>,
+    pub host: HostId,
+    pub delivery: u64,
+    pub address: SocketAddr,
+    /// The request but for the time left, which goes in after its first line.
+    pub request: Bytes,
+    pub left_us: u64,
+    pub unused: Option<Connection>,
+    pub place: Option<OwnedSemaphorePermit>,
+    /// Ends the delivery as long as its last byte has not left: the host drains, or is another process.
+    pub halt: oneshot::Receiver<()>,
+}
+
+/// What an answer comes to.
+enum Outcome {
+    Message(FromHost),
+    Lost(NoAnswer),
+}
+
+impl Attempt {
+    pub async fn run(mut self) {
+        let (ways, host, delivery) = (self.ways.clone(), self.host, self.delivery);
+        let (outcome, connection) = match self.send().await {
+            Ok(connection) => self.answer(connection).await,
+            Err(end) => (Outcome::Lost(end), None),
+        };
+        let input = match outcome {
+            Outcome::Message(message) => Input::FromHost { host: host.0, message },
+            Outcome::Lost(end) => Input::NotDelivered { host: host.0, delivery, end },
+        };
+        let _ = ways.core.send(Arrival::Delivered { host, delivery, input, connection }).await;
+    }
+
+    /// Writes the request whole, on an unused connection or on a new one. Nothing has run where it cannot.
+    async fn send(&mut self) -> Result<Connection, NoAnswer> {
+        let bytes = self.written();
+        let (unused, place) = (self.unused.take(), self.place.take());
+        let (address, within) = (self.address, self.ways.connect_timeout);
+        let sending = async move {
+            let mut place = place;
+            if let Some(mut connection) = unused {
+                if connection.stream.write_all(&bytes).await.is_ok() {
+                    return Ok(connection);
+                }
+                // It was closed meanwhile and not a whole request has left on it: a new one is no repeat.
+                place = Some(connection._place);
+            }
+            let place = place.ok_or("no place")?;
+            let opening = timeout(within, TcpStream::connect(address)).await;
+            let mut stream = opening.map_err(|_| "not in time")?.map_err(|_| "refused")?;
+            let _ = stream.set_nodelay(true);
+            // Closing takes back what has not left: a delivery that is given up must not arrive later.
+            let _ = stream.set_zero_linger();
+            stream.write_all(&bytes).await.map_err(|_| "broken before the request had left")?;
+            Ok::<_, &str>(Connection { stream, _place: place })
+        };
+        tokio::select! {
+            biased;
+            _ = &mut self.halt => Err(NoAnswer::NotSent),
+            sent = sending => sent.map_err(|fault| {
+                if let Some(kept_back) = self.ways.clock.line() {
+                    info!(host = self.host.0, %address, kept_back, fault, "host not connected");
+                }
+                NoAnswer::NotConnected
+            }),
+        }
+    }
+
+    fn written(&self) -> Bytes {
+        let line = self.request.windows(2).position(|w| w == b"\r\n").map_or(0, |at| at + 2);
+        let mut bytes = BytesMut::with_capacity(self.request.len() + 40);
+        bytes.put_slice(&self.request[..line]);
+        bytes.put_slice(format!("Request-Timeout: {}u\r\n", self.left_us).as_bytes());
+        bytes.put_slice(&self.request[line..]);
+        bytes.freeze()
+    }
+
+    /// Reads the answer; the connection comes back where it can be used again.
+    async fn answer(&self, mut connection: Connection) -> (Outcome, Option<Connection>) {
+        let mut buf = BytesMut::with_capacity(ROOM);
+        match self.read(&mut connection.stream, &mut buf).await {
+            Ok((message, stays)) => {
+                // What is behind an answer belongs to nobody; more may follow it, so the connection goes.
+                let clean = stays && buf.is_empty();
+                if !buf.is_empty() {
+                    debug!(host = self.host.0, bytes = buf.len(), "more than the answer has come");
+                }
+                (Outcome::Message(message), Some(connection).filter(|_| clean))
+            }
+            Err(HttpFault::Io(_) | HttpFault::Truncated) => (Outcome::Lost(NoAnswer::Reset), None),
+            Err(fault) => {
+                if let Some(kept_back) = self.ways.clock.line() {
+                    info!(host = self.host.0, kept_back, %fault, "answer cannot be read");
+                }
+                // The host is there and has answered, and what it ran is not known.
+                (Outcome::Message(FromHost::Error { delivery: self.delivery }), None)
+            }
+        }
+    }
+
+    async fn read(&self, stream: &mut TcpStream, buf: &mut BytesMut) -> Result<(FromHost, bool), HttpFault> {
+        let mut codec = AnswerCodec::new(BODY_LIMIT as u64);
+        let (mut status, mut not_started, mut stays) = (0, false, true);
+        let mut body = BytesMut::new();
+        loop {
+            while let Some(part) = codec.decode(buf)? {
+                match part {
+                    Part::Head { status: code, fields } => {
+                        status = code;
+                        not_started = fields.only("not-started").is_some_and(|v| v.as_ref() == b"1");
+                        stays = !fields.has("connection", "close");
+                    }
+                    Part::Data(data) => body.extend_from_slice(&data),
+                    Part::End => return Ok((self.message(status, not_started, body), stays)),
+                }
+            }
+            buf.reserve(ROOM);
+            let begun = codec.within() || !buf.is_empty();
+            let reading = stream.read_buf(buf);
+            let read = match begun {
+                false => reading.await?,
+                // An answer that stops half way would hold its command until nobody waits for it.
+                true => timeout(self.ways.connect_timeout, reading)
+                    .await
+                    .map_err(|_| HttpFault::Unreadable("an answer that does not go on"))??,
+            };
+            if read == 0 {
+                return match codec.decode_eof(buf)? {
+                    Some(Part::End) => Ok((self.message(status, not_started, body), false)),
+                    _ => Err(HttpFault::Truncated),
+                };
+            }
+        }
+    }
+
+    fn message(&self, status: u16, not_started: bool, body: BytesMut) -> FromHost {
+        let delivery = self.delivery;
+        match status {
+            200 => FromHost::Acked { delivery, body: body.freeze() },
+            503 | 504 if not_started => FromHost::Full { delivery },
+            _ => FromHost::Error { delivery },
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-platform/src/lib.rs
@@ -0,0 +1,22 @@
+//! The router on the platform: its protocol on sockets around `spokeflow-engine`. `docs/platform.md` tells what each
+//! exchange becomes and why.
+//!
+//! One task owns the engine ([`serve`]); tasks of connections only read and write. All that is decided on commands
+//! and deliveries is decided by the module inside the engine.
+
+mod clients;
+mod clock;
+mod configuration;
+mod deployer;
+mod discovery;
+mod hosts;
+mod log;
+mod program;
+mod roster;
+mod serve;
+
+pub use clock::Clock;
+pub use configuration::Configuration;
+pub use log::{start_log, LogForm};
+pub use program::{main_with, PlatformProgram};
+pub use serve::serve;
--- /dev/null
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -0,0 +1,412 @@
+//! The task that owns the engine, and what carries its messages.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use spokeflow_core::{HostId, Micros};
+use spokeflow_engine::{Engine, EngineTerms, Input, Links};
+use spokeflow_proto::{
+    BallotResult, Command, FrameFault, FromDesk, FromList, News, ToClient, ToDesk, ToHost, ToList,
+};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{sleep_until, timeout, Instant};
+use tokio_util::task::TaskTracker;
+use tracing::{debug, info, warn};
+
+use crate::clients::{listen, Accepting, Desk, House};
+use crate::configuration::Limits;
+use crate::deployer::{Subscription, Vote};
+use crate::discovery::Watching;
+use crate::hosts::{Attempt, Connection, Unused, Ways};
+use crate::program::PlatformProgram;
+use crate::roster::{Listing, Roster};
+use crate::{Clock, Configuration};
+
+/// Arrivals that wait for the engine at most; a task whose arrival finds no room waits, and so does its peer.
+const ARRIVALS: usize = 4096;
+/// Taken in at one go, so that time is looked at often enough.
+const AT_ONCE: usize = 256;
+/// For so long after SIGTERM connections are still taken: the front goes on dealing them out.
+const STILL_TAKEN: Duration = Duration::from_millis(500);
+/// After the last answer it gets this long to leave.
+const LAST_WRITES: Duration = Duration::from_millis(300);
+/// Descriptors for all but clients and hosts: standard streams, signals, the listener, discovery, the deployer.
+const OTHERS: u64 = 24;
+
+/// What reaches the task that owns the engine.
+pub enum Arrival {
+    Command { conn: u64, id: Bytes, command: Command, answer: oneshot::Sender<ToClient> },
+    ClientGone(u64),
+    Delivered { host: HostId, delivery: u64, input: Input, connection: Option<Connection> },
+    Listed(Listing),
+    News(News),
+    Report { unit: String, ago_us: u64 },
+    Voted { ballot: u64, result: Option<BallotResult>, news: Option<News> },
+}
+
+struct Host {
+    address: SocketAddr,
+    incarnation: u64,
+    open: bool,
+    unused: Unused,
+}
+
+struct Out {
+    host: HostId,
+    incarnation: u64,
+    halt: Option<oneshot::Sender<()>>,
+    task: AbortHandle,
+}
+
+struct Waiting {
+    id: Bytes,
+    answer: oneshot::Sender<ToClient>,
+}
+
+/// The engine's way out. Nothing here waits.
+struct Wires {
+    house: Arc<House>,
+    ways: Arc<Ways>,
+    waiting: HashMap<u64, Waiting>,
+    /// Ids of the commands that are owed an answer, on any connection.
+    open_ids: HashSet<Bytes>,
+    hosts: HashMap<HostId, Host>,
+    out: HashMap<u64, Out>,
+    places: Arc<Semaphore>,
+    deployer: watch::Sender<SocketAddr>,
+    vote_wait: Duration,
+}
+
+impl Wires {
+    fn halt(&mut self, host: HostId, but: Option<u64>) {
+        for out in self.out.values_mut().filter(|o| o.host == host && Some(o.incarnation) != but) {
+            // What has left whole no longer listens.
+            if let Some(halt) = out.halt.take() {
+                let _ = halt.send(());
+            }
+        }
+    }
+
+    /// Room for one more connection to a host, if need be that of the one longest unused.
+    fn place(&mut self) -> Option<tokio::sync::OwnedSemaphorePermit> {
+        if let Ok(place) = self.places.clone().try_acquire_owned() {
+            return Some(place);
+        }
+        let unused = self.hosts.values_mut().filter_map(|h| Some((h.unused.oldest()?, h)));
+        unused.min_by_key(|(since, _)| *since)?.1.unused.drop_oldest();
+        self.places.clone().try_acquire_owned().ok()
+    }
+
+    fn deliver(&mut self, host: HostId, delivery: u64, left_us: u64, request: Bytes) -> bool {
+        let Some(known) = self.hosts.get_mut(&host).filter(|h| h.open) else { return false };
+        let (address, incarnation) = (known.address, known.incarnation);
+        let unused = known.unused.take();
+        let place = if unused.is_none() { self.place() } else { None };
+        if unused.is_none() && place.is_none() {
+            return false;
+        }
+        let (halt, halted) = oneshot::channel();
+        let ways = self.ways.clone();
+        let attempt =
+            Attempt { ways, host, delivery, address, request, left_us, unused, place, halt: halted };
+        let task = tokio::spawn(attempt.run()).abort_handle();
+        self.out.insert(delivery, Out { host, incarnation, halt: Some(halt), task });
+        true
+    }
+
+    /// A delivery has ended by itself; its connection is kept where the host is still the same process.
+    fn delivered(&mut self, host: HostId, delivery: u64, connection: Option<Connection>) {
+        let out = self.out.remove(&delivery);
+        let known = self.hosts.get_mut(&host).filter(|h| h.open);
+        if let (Some(out), Some(known), Some(connection)) = (out, known, connection) {
+            if known.incarnation == out.incarnation {
+                known.unused.keep(connection);
+            }
+        }
+    }
+}
+
+impl Links for Wires {
+    fn to_client(&mut self, conn: u64, message: ToClient) {
+        debug!(conn, ?message, "answer");
+        if let Some(waiting) = self.waiting.remove(&conn) {
+            self.open_ids.remove(&waiting.id);
+            let _ = waiting.answer.send(message);
+        }
+    }
+
+    fn to_host(&mut self, host: HostId, message: ToHost, _leave_by: Micros) -> bool {
+        match message {
+            ToHost::Deliver { delivery, left_us, body, .. } => self.deliver(host, delivery, left_us, body),
+            ToHost::Cancel { delivery } => {
+                // Dropped with its task, the connection closes: that is how an attempt is given up here.
+                if let Some(out) = self.out.remove(&delivery) {
+                    out.task.abort();
+                }
+                true
+            }
+            _ => true,
+        }
+    }
+
+    /// The watch stands always.
+    fn to_list(&mut self, _: ToList) -> bool {
+        true
+    }
+
+    fn to_desk(&mut self, message: ToDesk) -> bool {
+        info!(?message, "vote");
+        let ToDesk::Vote { ballot, build, stage, verdict } = message else { return true };
+        let vote = Vote {
+            address: *self.deployer.borrow(),
+            core: self.ways.core.clone(),
+            connect_timeout: self.ways.connect_timeout,
+            wait: self.vote_wait,
+            ballot,
+            build,
+            stage,
+            verdict,
+        };
+        tokio::spawn(vote.run());
+        true
+    }
+
+    fn to_routers(&mut self, _: Option<u32>, _: &[u8]) {}
+
+    fn host_open(&mut self, host: HostId, address: &str, incarnation: u64) {
+        let Ok(address) = address.parse() else {
+            return warn!(host = host.0, address, "the list names no address for a host");
+        };
+        self.house.up.store(true, Ordering::Relaxed);
+        let fresh = || Host { address, incarnation, open: true, unused: Unused::default() };
+        let known = self.hosts.entry(host).or_insert_with(fresh);
+        known.open = true;
+        if (known.address, known.incarnation) != (address, incarnation) {
+            // What has not left yet was meant for another process, maybe another build.
+            *known = fresh();
+            self.halt(host, Some(incarnation));
+        }
+    }
+
+    fn host_closed(&mut self, host: HostId, gone: bool) {
+        if let Some(known) = self.hosts.get_mut(&host) {
+            known.open = false;
+            known.unused.clear();
+        }
+        self.halt(host, None);
+        if gone {
+            self.hosts.remove(&host);
+        }
+    }
+}
+
+/// Connections of clients and to hosts at most: two thirds and one third of what the others leave.
+fn shares(limits: &Limits) -> (usize, usize) {
+    let free = limits.sockets.saturating_sub(OTHERS) as usize;
+    (free - free / 3, free / 3)
+}
+
+fn micros(span: Duration) -> Micros {
+    span.as_micros().min(Micros::MAX as u128 / 4) as Micros
+}
+
+fn span(time: Micros) -> Duration {
+    Duration::from_micros(time.max(0) as u64)
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+struct Core {
+    engine: Engine,
+    wires: Wires,
+    roster: Roster,
+    clock: Arc<Clock>,
+}
+
+impl Core {
+    fn give(&mut self, input: Input) {
+        self.engine.take(self.clock.now(), input, &mut self.wires);
+    }
+
+    fn take(&mut self, arrival: Arrival) {
+        match arrival {
+            Arrival::Command { conn, id, command, answer } => {
+                if !self.wires.open_ids.insert(id.clone()) {
+                    let refused = FrameFault::IdInUse(command.id).refused();
+                    let _ = answer.send(ToClient::Refused(refused));
+                    return;
+                }
+                self.wires.waiting.insert(conn, Waiting { id, answer });
+                self.give(Input::Command { conn, command });
+            }
+            Arrival::ClientGone(conn) => {
+                if let Some(waiting) = self.wires.waiting.remove(&conn) {
+                    self.wires.open_ids.remove(&waiting.id);
+                }
+                self.give(Input::ClientGone { conn });
+            }
+            Arrival::Delivered { host, delivery, input, connection } => {
+                self.wires.delivered(host, delivery, connection);
+                self.give(input);
+            }
+            Arrival::Listed(listing) => self.listed(listing, false),
+            Arrival::News(news) => self.give(Input::FromDesk(FromDesk::News(news))),
+            Arrival::Report { unit, ago_us } => {
+                if let Some(host) = self.roster.number(&unit) {
+                    self.give(Input::Reported { host, ago_us });
+                }
+            }
+            Arrival::Voted { ballot, result, news } => {
+                match result {
+                    Some(result) => self.give(Input::FromDesk(FromDesk::Voted { ballot, result })),
+                    None => self.give(Input::DeskGone),
+                }
+                if let Some(news) = news {
+                    self.give(Input::FromDesk(FromDesk::News(news)));
+                }
+            }
+        }
+    }
+
+    fn listed(&mut self, listing: Listing, remembered: bool) {
+        let (list, sizes) = self.roster.read(listing, self.clock.now(), unix_ms());
+        self.give(match list {
+            FromList::Whole { lines, .. } | FromList::Changes { lines, .. } if remembered => {
+                Input::Remembered(lines)
+            }
+            list => Input::FromList(list),
+        });
+        self.give(Input::FromList(sizes));
+    }
+}
+
+/// Runs a router on the platform until SIGTERM; then answers all that it has taken and returns.
+/// Errors: the address cannot be listened on, or signals cannot be heard.
+pub async fn serve(program: PlatformProgram, told: Configuration) -> Result<(), String> {
+    let heard = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+    let (mut hup, mut term) = (heard(SignalKind::hangup())?, heard(SignalKind::terminate())?);
+    let clock = Clock::starting_now();
+    let listener = listen(told.listen).map_err(|e| format!("--listen {}: {e}", told.listen))?;
+    let (core, mut arrivals) = mpsc::channel(ARRIVALS);
+    let (leave, leaving) = watch::channel(false);
+    let (discovery, discovery_at) = watch::channel(told.discovery);
+    let (deployer, deployer_at) = watch::channel(told.deployer);
+    let (client_places, host_places) = shares(&told.limits);
+    let service = told.told.terms.clone();
+    let longest = service.ops.iter().map(|op| op.command_timeout).max().unwrap_or(0);
+    let connect_timeout = match told.told.connect_timeout {
+        0 => span(longest),
+        most => span(most),
+    };
+    // Hosts close at the latest after their own time: well before it, nothing can cross their closing.
+    let unused_most = span(told.told.connection_idle) / 2;
+    let named = |names: Vec<String>| names.into_iter().map(Bytes::from).zip(0..);
+    let ops = named(told.told.ops).map(|(name, n)| (name, (n as u16, service.ops[n as usize].repeat)));
+    let house = Arc::new(House {
+        desk: Desk { ops: ops.collect(), customers: named(told.told.customers).collect() },
+        clock: clock.clone(),
+        core: core.clone(),
+        up: AtomicBool::new(false),
+        leaving,
+    });
+    let mut wires = Wires {
+        house: house.clone(),
+        ways: Arc::new(Ways { clock: clock.clone(), core: core.clone(), connect_timeout }),
+        waiting: HashMap::new(),
+        open_ids: HashSet::new(),
+        hosts: HashMap::new(),
+        out: HashMap::new(),
+        places: Arc::new(Semaphore::new(host_places)),
+        deployer,
+        vote_wait: span(service.vote_wait),
+    };
+    info!(name = told.name, listen = %told.listen, client_places, host_places, "router starts");
+    let terms = EngineTerms {
+        service,
+        answer_margin: micros(program.answer_margin),
+        // A connection holds one command at a time.
+        held_at_most: client_places,
+    };
+    let engine = Engine::new(terms, told.seed, clock.now(), &mut wires);
+    let roster = Roster::new(told.told.zones, longest.max(1));
+    let mut here = Core { engine, wires, roster, clock: clock.clone() };
+    let after = told.known.as_ref().map_or(0, |known| known.revision);
+    if let Some(known) = told.known {
+        here.listed(known, true);
+    }
+    if let Some(news) = told.news {
+        here.give(Input::FromDesk(FromDesk::News(news)));
+    }
+    let mut helpers = JoinSet::new();
+    let (watching, hearing) = (core.clone(), core);
+    helpers.spawn(
+        Watching { address: discovery_at, clock: clock.clone(), core: watching, connect_timeout, after }
+            .run(),
+    );
+    helpers.spawn(
+        Subscription { address: deployer_at, clock: clock.clone(), core: hearing, connect_timeout }.run(),
+    );
+    let clients = TaskTracker::new();
+    let accepting = Accepting { listener, house, places: client_places, clients: clients.clone() };
+    let accepting = helpers.spawn(accepting.run());
+    let mut batch = Vec::with_capacity(AT_ONCE);
+    let mut close_at: Option<Instant> = None;
+    let mut closed = false;
+    let mut swept = Instant::now();
+    loop {
+        let wake = clock.at(here.engine.next_wake());
+        tokio::select! {
+            biased;
+            _ = term.recv(), if close_at.is_none() => {
+                info!(held = here.engine.held(), "router ends");
+                clock.end();
+                close_at = Some(Instant::now() + STILL_TAKEN);
+            }
+            _ = hup.recv() => match program.configuration() {
+                Ok(fresh) => {
+                    info!(discovery = %fresh.discovery, deployer = %fresh.deployer, "configuration read again");
+                    discovery.send_if_modified(|at| std::mem::replace(at, fresh.discovery) != fresh.discovery);
+                    let deployer = &here.wires.deployer;
+                    deployer.send_if_modified(|at| std::mem::replace(at, fresh.deployer) != fresh.deployer);
+                }
+                Err(what) => warn!(what, "configuration cannot be read: the one before stands"),
+            },
+            _ = sleep_until(wake) => {}
+            _ = arrivals.recv_many(&mut batch, AT_ONCE) => {}
+        }
+        // Whatever woke this task, what has arrived meanwhile is taken in as well: neither starves the other.
+        while batch.len() < AT_ONCE {
+            let Ok(arrival) = arrivals.try_recv() else { break };
+            batch.push(arrival);
+        }
+        batch.drain(..).for_each(|arrival| here.take(arrival));
+        if here.engine.next_wake() <= clock.now() {
+            here.engine.woken(clock.now(), &mut here.wires);
+        }
+        if swept.elapsed() > unused_most.min(Duration::from_secs(1)) {
+            swept = Instant::now();
+            here.wires.hosts.values_mut().for_each(|host| host.unused.expire(unused_most));
+        }
+        if close_at.is_some_and(|at| Instant::now() >= at) && !closed {
+            closed = true;
+            accepting.abort();
+            let _ = leave.send(true);
+            here.give(Input::Close);
+        }
+        if closed && here.engine.held() == 0 {
+            break;
+        }
+    }
+    clients.close();
+    let _ = timeout(LAST_WRITES, clients.wait()).await;
+    info!("router has ended");
+    Ok(())
+}
--- a/crates/spokeflow-router/src/clients.rs
+++ b/crates/spokeflow-router/src/clients.rs
@@ -13,7 +13,9 @@
 use tokio_util::codec::Framed;
 use tracing::{debug, info};
 
-use crate::serve::{Arrival, Clock};
+use spokeflow_platform::Clock;
+
+use crate::serve::Arrival;
 
 /// A peer that has connected says who it is within this time.
 const HELLO_WAIT: Duration = Duration::from_secs(5);
--- a/crates/spokeflow-router/src/hosts.rs
+++ b/crates/spokeflow-router/src/hosts.rs
@@ -18,7 +18,9 @@
 use tokio_util::codec::FramedRead;
 use tracing::{debug, info};
 
-use crate::serve::{Arrival, Clock};
+use spokeflow_platform::Clock;
+
+use crate::serve::Arrival;
 
 /// Encoded and not yet taken by the system at most, beside what one message adds.
 const WRITE_AHEAD: usize = 16 << 10;
--- a/crates/spokeflow-router/src/lib.rs
+++ b/crates/spokeflow-router/src/lib.rs
@@ -7,13 +7,13 @@
 mod clients;
 mod hosts;
 mod links;
-mod log;
+
 mod program;
 mod serve;
 mod terms;
 
-pub use log::start_log;
 pub use program::{main_with, RouterProgram};
 pub use serve::{serve, Listening};
 pub use spokeflow_core::{Repeat, RepeatScope};
+pub use spokeflow_platform::start_log;
 pub use terms::{op_flag, Faults, NamedOp, RouterTerms, ServiceFlags};
--- a/crates/spokeflow-router/src/program.rs
+++ b/crates/spokeflow-router/src/program.rs
@@ -2,11 +2,16 @@
 
 use clap::Parser;
 
-use crate::{serve, start_log, Listening, RouterTerms};
+use spokeflow_platform::start_log;
+
+use crate::{serve, Listening, RouterTerms};
 
 /// Sends commands to hosts, keeps every key at one build while a release is rolled out, and votes it on or back.
 #[derive(Debug, Parser)]
 #[command(name = "spokeflow-router", version)]
+#[command(
+    after_help = "On the platform, `spokeflow-router platform` speaks its protocol; see `spokeflow-router platform --help`."
+)]
 pub struct RouterProgram {
     #[command(flatten)]
     pub terms: RouterTerms,
--- a/crates/spokeflow-router/src/serve.rs
+++ b/crates/spokeflow-router/src/serve.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
 use spokeflow_core::{HostId, Micros};
 use spokeflow_engine::{Engine, Input, Links, Recording};
+use spokeflow_platform::Clock;
 use spokeflow_proto::{Hello, Role, ToClient, ToDesk, ToHost, ToList};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch, Semaphore};
@@ -21,7 +21,6 @@
 use crate::clients::Client;
 use crate::hosts::{HostLink, LinkTerms, Listed};
 use crate::links::{read_list, DeskLink, ListLink, PeerLink};
-use crate::log::Sparing;
 use crate::RouterTerms;
 
 /// Arrivals that wait for the engine at most; a task whose arrival finds no room waits, and so does its peer.
@@ -43,37 +42,6 @@
     Close,
 }
 
-/// Microseconds since the start, and what all tasks share for their log lines.
-pub struct Clock {
-    start: Instant,
-    ending: AtomicBool,
-    sparing: Sparing,
-}
-
-impl Clock {
-    pub fn starting_now() -> Arc<Clock> {
-        Arc::new(Clock { start: Instant::now(), ending: AtomicBool::new(false), sparing: Sparing::new() })
-    }
-
-    pub fn now(&self) -> Micros {
-        self.start.elapsed().as_micros() as Micros
-    }
-
-    pub fn ending(&self) -> bool {
-        self.ending.load(Ordering::Relaxed)
-    }
-
-    /// Whether a line that a peer causes may be logged now; with it, how many were kept back.
-    pub fn line(&self) -> Option<u64> {
-        self.sparing.line(self.start.elapsed().as_secs())
-    }
-
-    fn at(&self, time: Micros) -> Instant {
-        // A wake-up that is never due is looked at again in an hour.
-        self.start + Duration::from_micros(time.clamp(0, self.now() + 3_600_000_000) as u64)
-    }
-}
-
 /// A port that has been taken.
 pub struct Listening {
     listener: TcpListener,
@@ -268,7 +236,7 @@
             biased;
             _ = &mut ending, if end_by.is_none() => {
                 info!(held = engine.held(), "router ends: takes nothing new");
-                clock.ending.store(true, Ordering::Relaxed);
+                clock.end();
                 end_by = Some(Instant::now() + terms.shutdown_within);
                 accepting.abort();
                 batch.push(Arrival::Close);
--- a/crates/spokeflow-router/src/terms.rs
+++ b/crates/spokeflow-router/src/terms.rs
@@ -9,7 +9,7 @@
 use spokeflow_core::{Gate, Micros, OpTerms, Repeat, RepeatScope, ServiceTerms, ZoneId};
 use spokeflow_engine::EngineTerms;
 
-use crate::log::LogForm;
+use spokeflow_platform::LogForm;
 
 fn span(text: &str) -> Result<Duration, String> {
     humantime::parse_duration(text)
--- a/crates/spokeflow-wirehost/src/settings.rs
+++ b/crates/spokeflow-settings/src/lib.rs
@@ -1,9 +1,8 @@
-//! The settings text of the wire, turned into the module's terms. Unknown keys are passed over.
+//! The settings object that the simulator's first message and the platform's configuration both hold, turned into
+//! the module's terms: one reader, so that the two cannot drift apart. Unknown keys are passed over.
 
 use serde::Deserialize;
-use spokeflow_core::{Gate, OpTerms, Repeat, RepeatScope, ServiceTerms, ZoneId};
-
-use crate::frame::micros;
+use spokeflow_core::{Gate, Micros, OpTerms, Repeat, RepeatScope, ServiceTerms, ZoneId};
 
 #[derive(Deserialize)]
 struct Params {
@@ -11,6 +10,8 @@
     #[serde(default)]
     tenants: Vec<Tenant>,
     #[serde(default)]
+    dcs: Vec<String>,
+    #[serde(default)]
     zone: u16,
     #[serde(default)]
     me: u32,
@@ -29,6 +30,8 @@
 
 #[derive(Deserialize)]
 struct Category {
+    #[serde(default)]
+    name: String,
     aim_s: f64,
     deadline_s: f64,
     #[serde(default)]
@@ -45,6 +48,8 @@
 
 #[derive(Deserialize)]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     allowance_per_s: f64,
 }
@@ -52,6 +57,8 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct Caps {
+    conn_idle_s: f64,
+    connect_timeout_s: f64,
     max_retry_after_s: f64,
     may_cancel: bool,
     parallel_tries: bool,
@@ -64,6 +71,8 @@
 impl Default for Caps {
     fn default() -> Self {
         Caps {
+            conn_idle_s: 0.0,
+            connect_timeout_s: 0.0,
             max_retry_after_s: 0.0,
             may_cancel: false,
             parallel_tries: false,
@@ -123,8 +132,28 @@
     back_votes: u32,
 }
 
-/// The terms, and which value of a load report says how busy a host's cores are.
-pub fn read(text: &[u8]) -> Result<(ServiceTerms, Option<usize>), String> {
+/// What the object says.
+pub struct Told {
+    pub terms: ServiceTerms,
+    /// Which value of a load report says how busy a host's cores are.
+    pub busy_column: Option<usize>,
+    /// Names of op types, customers and zones, in the order of their numbers in `terms`.
+    pub ops: Vec<String>,
+    pub customers: Vec<String>,
+    pub zones: Vec<String>,
+    /// A connection to a host has to stand within this time; 0 where that is not said.
+    pub connect_timeout: Micros,
+    /// Hosts close a connection that has stood idle for so long, at the latest; 0 where that is not said.
+    pub connection_idle: Micros,
+}
+
+/// Seconds, as the object has them, in whole microseconds.
+pub fn micros(seconds: f64) -> Micros {
+    (seconds * 1e6).round() as Micros
+}
+
+/// Reads the object's text. Errors: no such object, or a word that is not known, in one line.
+pub fn read(text: &[u8]) -> Result<Told, String> {
     let p: Params = serde_json::from_slice(text).map_err(|e| format!("settings do not parse: {e}"))?;
     let ops = p.categories.iter().map(op).collect();
     let terms = ServiceTerms {
@@ -168,7 +197,15 @@
         complaint_share: p.family_info.complaint_share,
         back_votes: p.family_info.back_votes,
     };
-    Ok((terms, p.feedback.columns.iter().position(|name| name == "cpu")))
+    Ok(Told {
+        terms,
+        busy_column: p.feedback.columns.iter().position(|name| name == "cpu"),
+        ops: p.categories.into_iter().map(|c| c.name).collect(),
+        customers: p.tenants.into_iter().map(|t| t.name).collect(),
+        zones: p.dcs,
+        connect_timeout: micros(p.caps.connect_timeout_s),
+        connection_idle: micros(p.caps.conn_idle_s),
+    })
 }
 
 fn op(c: &Category) -> OpTerms {
--- a/crates/spokeflow-wirehost/src/frame.rs
+++ b/crates/spokeflow-wirehost/src/frame.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::io::{self, Read};
 
+use spokeflow_settings::micros;
+
 /// What is wrong with the input, and where.
 #[derive(Debug)]
 pub struct Malformed {
@@ -107,10 +109,6 @@
     }
 }
 
-pub fn micros(seconds: f64) -> i64 {
-    (seconds * 1e6).round() as i64
-}
-
 /// Fills `body` with the next batch. Gives its record count and clock, or `None` at the end of input.
 pub fn read_batch(input: &mut impl Read, body: &mut Vec<u8>) -> Result<Option<(usize, i64)>, Malformed> {
     let mut header = [0; 16];
--- a/crates/spokeflow-wirehost/src/main.rs
+++ b/crates/spokeflow-wirehost/src/main.rs
@@ -2,7 +2,6 @@
 
 mod frame;
 mod reply;
-mod settings;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
@@ -108,12 +107,12 @@
             let seed = f.u64()?;
             let len = f.u32()? as usize;
             let text = f.bytes(len)?;
-            let (terms, busy_column) = settings::read(text).map_err(|what| f.malformed(what))?;
+            let told = spokeflow_settings::read(text).map_err(|what| f.malformed(what))?;
             self.busy_column.remove(&instance);
-            if let Some(column) = busy_column {
+            if let Some(column) = told.busy_column {
                 self.busy_column.insert(instance, column);
             }
-            self.routers.insert(instance, Router::new(&terms, seed, now, out));
+            self.routers.insert(instance, Router::new(&told.terms, seed, now, out));
             return Ok(());
         }
         // What arrives for a router that was killed is nobody's.
