--- a/crates/spokeflow-engine/src/engine.rs
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -67,6 +67,11 @@
         self.book.owed_by.len()
     }
 
+    /// Deliveries that the module counts as open.
+    pub fn out(&self) -> usize {
+        self.book.out.len()
+    }
+
     /// The next command gets this id of the module, or the first free one after it.
     pub fn skip_ids_to(&mut self, id: u32) {
         self.book.next_cmd = id;
--- /dev/null
+++ b/crates/spokeflow-http/tests/codecs.rs
@@ -0,0 +1,171 @@
+//! What is read is the same however the bytes are cut, nothing panics, and what two readers could take in two ways
+//! is a fault.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use spokeflow_http::{write_answer, Answer, AnswerCodec, HttpFault, Part, Request, ServerCodec};
+use tokio_util::codec::Decoder;
+
+/// Everything that comes of the bytes, cut at the given places and then ended.
+fn all<C: Decoder<Error = HttpFault>>(mut codec: C, bytes: &[u8], cuts: &[usize]) -> (Vec<C::Item>, String) {
+    let (mut buf, mut items, mut from) = (BytesMut::new(), Vec::new(), 0);
+    let mut cuts: Vec<usize> = cuts.iter().map(|c| c % (bytes.len() + 1)).collect();
+    cuts.sort_unstable();
+    cuts.push(bytes.len());
+    for cut in cuts {
+        buf.extend_from_slice(&bytes[from..cut]);
+        from = cut;
+        loop {
+            match codec.decode(&mut buf) {
+                Ok(Some(item)) => items.push(item),
+                Ok(None) => break,
+                Err(fault) => return (items, fault.to_string()),
+            }
+        }
+    }
+    loop {
+        match codec.decode_eof(&mut buf) {
+            Ok(Some(item)) => items.push(item),
+            Ok(None) => return (items, String::new()),
+            Err(fault) => return (items, fault.to_string()),
+        }
+    }
+}
+
+fn requests(bytes: &[u8]) -> (Vec<Request>, String) {
+    all(ServerCodec::new(1024), bytes, &[])
+}
+
+/// Status, body and whether it ended, of each answer.
+fn answers(parts: &[Part]) -> Vec<(u16, Vec<u8>, bool)> {
+    let mut answers: Vec<(u16, Vec<u8>, bool)> = Vec::new();
+    for part in parts {
+        match part {
+            Part::Head { status, .. } => answers.push((*status, Vec::new(), false)),
+            Part::Data(data) => answers.last_mut().unwrap().1.extend_from_slice(data),
+            Part::End => answers.last_mut().unwrap().2 = true,
+        }
+    }
+    answers
+}
+
+const TWO: &[u8] = b"POST /a/k HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc\
+\r\nPOST /b HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nde\r\n1;x=y\r\nf\r\n0\r\nT: v\r\n\r\n";
+
+#[test]
+fn two_requests_behind_one_another() {
+    let (read, end) = requests(TWO);
+    let bodies: Vec<&[u8]> = read.iter().map(|r| r.body.as_ref()).collect();
+    assert_eq!((bodies, end.as_str()), (vec![&b"abc"[..], b"def"], ""));
+    assert_eq!(read[0].fields.only("host"), Some(&Bytes::from_static(b"h")));
+}
+
+/// Each of these could be read in two ways, or never ends: none may become a request.
+#[test]
+fn doubtful_requests_are_faults() {
+    let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(9000));
+    let fields = format!("GET / HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(65));
+    let endless = format!("GET / HTTP/1.1\r\na: {}", "x".repeat(9000));
+    for bad in [
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nContent-Length: \r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 1025\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n401\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\nab",
+        "GET / HTTP/1.1\nHost: h\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\r\n folded\r\n\r\n",
+        "GET /\r\n\r\n",
+        "\x16\x03\x01\x02",
+        &long,
+        &fields,
+        &endless,
+    ] {
+        let (read, end) = requests(bad.as_bytes());
+        let chunk_of_1025 = bad.contains("\r\n401\r\n") && end.contains("within");
+        assert!(read.is_empty() && !end.is_empty(), "{bad:?}: {read:?}");
+        assert!(chunk_of_1025 || !end.contains("within"), "{bad:?} was waited for: {end}");
+    }
+}
+
+#[test]
+fn a_chunked_body_that_grows_too_long_is_a_fault() {
+    let chunk = format!("200\r\n{}\r\n", "x".repeat(512));
+    let bad =
+        format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}{chunk}1\r\nx\r\n0\r\n\r\n");
+    assert!(matches!(ServerCodec::new(1024).decode(&mut bad.as_bytes().into()), Err(HttpFault::BodyTooLong)));
+}
+
+#[test]
+fn answers_of_every_framing_and_those_ahead_of_one() {
+    let bytes = b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n\
+HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 204 None\r\n\r\n\
+HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nc\r\n0\r\n\r\nHTTP/1.1 500 No\r\n\r\nrest";
+    let (parts, end) = all(AnswerCodec::new(64), bytes, &[]);
+    let expected: [(u16, &[u8]); 4] = [(200, b"ab"), (204, b""), (200, b"c"), (500, b"rest")];
+    let expected: Vec<_> = expected.iter().map(|(status, body)| (*status, body.to_vec(), true)).collect();
+    assert_eq!((answers(&parts), end.as_str()), (expected, ""));
+}
+
+#[test]
+fn spoilt_answers_are_faults() {
+    for bad in [
+        "noise that is no answer",
+        "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 OK\r\n\r\n",
+        "HTTP/1.1 999 What\r\n\r\n",
+        "HTTP/1.1 101 Switching\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na",
+    ] {
+        let (parts, end) = all(AnswerCodec::new(64), bad.as_bytes(), &[]);
+        assert!(!parts.contains(&Part::End) && !end.is_empty(), "{bad:?}: {parts:?}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_cut_of_the_bytes_gives_the_same_requests(cuts in prop::collection::vec(0usize..400, 0..8)) {
+        prop_assert_eq!(all(ServerCodec::new(1024), TWO, &cuts), requests(TWO));
+    }
+
+    #[test]
+    fn what_is_written_is_read_whatever_the_cut(
+        status in 200u16..600,
+        body in prop::collection::vec(any::<u8>(), 0..200),
+        cuts in prop::collection::vec(0usize..400, 0..8),
+    ) {
+        prop_assume!(status != 204 && status != 304);
+        let mut buf = BytesMut::new();
+        let answer = Answer { status, body: body.clone().into(), retry_after: Some(0.25), close: true };
+        write_answer(&answer, &mut buf);
+        let (parts, end) = all(AnswerCodec::new(1024), &buf, &cuts);
+        prop_assert_eq!((answers(&parts), end.as_str()), (vec![(status, body, true)], ""));
+    }
+
+    #[test]
+    fn no_bytes_bring_a_reader_down(
+        noise in prop::collection::vec(any::<u8>(), 0..300),
+        at in 0usize..200,
+        cuts in prop::collection::vec(0usize..400, 0..4),
+    ) {
+        let mut bytes = TWO.to_vec();
+        let at = at % bytes.len();
+        bytes.splice(at..(at + noise.len() / 8).min(TWO.len()), noise);
+        all(ServerCodec::new(1024), &bytes, &cuts);
+        all(AnswerCodec::new(1024), &bytes, &cuts);
+    }
+}
--- a/crates/spokeflow-platform/src/hosts.rs
+++ b/crates/spokeflow-platform/src/hosts.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -73,6 +74,10 @@
         self.0.pop_front();
     }
 
+    pub fn count(&self) -> usize {
+        self.0.len()
+    }
+
     pub fn clear(&mut self) {
         self.0.clear();
     }
@@ -84,6 +89,31 @@
     pub core: mpsc::Sender<Arrival>,
     /// A connection has to stand within this time; so has an answer, once begun, to come whole.
     pub connect_timeout: Duration,
+    pub leaving: Leaving,
+}
+
+/// How long deliveries took from the module's call until their last byte had left, since last looked at.
+#[derive(Default)]
+pub struct Leaving {
+    count: AtomicU64,
+    micros: AtomicU64,
+    most: AtomicU64,
+}
+
+impl Leaving {
+    fn note(&self, took: Duration) {
+        let micros = took.as_micros() as u64;
+        self.count.fetch_add(1, Ordering::Relaxed);
+        self.micros.fetch_add(micros, Ordering::Relaxed);
+        self.most.fetch_max(micros, Ordering::Relaxed);
+    }
+
+    /// Deliveries, their mean and the longest, in microseconds.
+    pub fn look(&self) -> (u64, u64, u64) {
+        let [count, micros, most] =
+            [&self.count, &self.micros, &self.most].map(|n| n.swap(0, Ordering::Relaxed));
+        (count, micros / count.max(1), most)
+    }
 }
 
 /// One delivery on its way.
@@ -110,8 +140,12 @@
 impl Attempt {
     pub async fn run(mut self) {
         let (ways, host, delivery) = (self.ways.clone(), self.host, self.delivery);
+        let called = Instant::now();
         let (outcome, connection) = match self.send().await {
-            Ok(connection) => self.answer(connection).await,
+            Ok(connection) => {
+                ways.leaving.note(called.elapsed());
+                self.answer(connection).await
+            }
             Err(end) => (Outcome::Lost(end), None),
         };
         let input = match outcome {
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -23,7 +23,7 @@
 use crate::configuration::Limits;
 use crate::deployer::{Subscription, Vote};
 use crate::discovery::Watching;
-use crate::hosts::{Attempt, Connection, Unused, Ways};
+use crate::hosts::{Attempt, Connection, Leaving, Unused, Ways};
 use crate::program::PlatformProgram;
 use crate::roster::{Listing, Roster};
 use crate::{Clock, Configuration};
@@ -34,6 +34,8 @@
 const AT_ONCE: usize = 256;
 /// For so long after SIGTERM connections are still taken: the front goes on dealing them out.
 const STILL_TAKEN: Duration = Duration::from_millis(500);
+/// What the engine believes is compared with the sockets in the log this often.
+const LOOKED_EVERY: Duration = Duration::from_secs(10);
 /// After the last answer it gets this long to leave.
 const LAST_WRITES: Duration = Duration::from_millis(300);
 /// Descriptors for all but clients and hosts: standard streams, signals, the listener, discovery, the deployer.
@@ -288,6 +290,17 @@
     }
 }
 
+impl Core {
+    /// What the engine counts as out beside what is open, so that on-call sees the two part.
+    fn look(&self, places: usize) {
+        let unused: usize = self.wires.hosts.values().map(|host| host.unused.count()).sum();
+        let open = places - self.wires.places.available_permits();
+        let (left, mean_us, most_us) = self.wires.ways.leaving.look();
+        let (held, out) = (self.engine.held(), self.engine.out());
+        info!(held, out, in_use = open - unused, unused, left, mean_us, most_us, "on the sockets");
+    }
+}
+
 /// Runs a router on the platform until SIGTERM; then answers all that it has taken and returns.
 /// Errors: the address cannot be listened on, or signals cannot be heard.
 pub async fn serve(program: PlatformProgram, told: Configuration) -> Result<(), String> {
@@ -319,7 +332,12 @@
     });
     let mut wires = Wires {
         house: house.clone(),
-        ways: Arc::new(Ways { clock: clock.clone(), core: core.clone(), connect_timeout }),
+        ways: Arc::new(Ways {
+            clock: clock.clone(),
+            core: core.clone(),
+            connect_timeout,
+            leaving: Leaving::default(),
+        }),
         waiting: HashMap::new(),
         open_ids: HashSet::new(),
         hosts: HashMap::new(),
@@ -360,7 +378,7 @@
     let mut batch = Vec::with_capacity(AT_ONCE);
     let mut close_at: Option<Instant> = None;
     let mut closed = false;
-    let mut swept = Instant::now();
+    let (mut swept, mut looked) = (Instant::now(), Instant::now());
     loop {
         let wake = clock.at(here.engine.next_wake());
         tokio::select! {
@@ -395,6 +413,10 @@
             swept = Instant::now();
             here.wires.hosts.values_mut().for_each(|host| host.unused.expire(unused_most));
         }
+        if looked.elapsed() > LOOKED_EVERY {
+            looked = Instant::now();
+            here.look(host_places);
+        }
         if close_at.is_some_and(|at| Instant::now() >= at) && !closed {
             closed = true;
             accepting.abort();
