--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -26,6 +26,8 @@
 /// Taken off each judged delivery beside the earlier build's rate, and off the reports of wrong answers.
 const FAIL_MARGIN: f64 = 0.02;
 const WRONG_MARGIN: f64 = 0.01;
+/// Failures at the earlier build, as a share, that halve what one more proves.
+const NOISE: f64 = 0.1;
 /// What the desk's counts of one op type and period weigh, and slowness there that is laid to chance.
 const COUNT_WEIGHT: f64 = 1.5;
 const COUNT_MARGIN: f64 = 0.3;
@@ -263,6 +265,7 @@
             // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
             self.pins.retain(|_, pin| {
                 pin.answered_by = pin.answered_by.filter(|b| *b != news.build);
+                pin.claimed_by = None;
                 pin.build != news.build || pin.answered_by.is_some()
             });
         }
@@ -335,7 +338,8 @@
     fn route(&mut self, cmd: CommandId, out: Out) -> bool {
         let Some(c) = self.cmds.get(&cmd).filter(|c| !c.ended) else { return false };
         let (key, op) = (c.key, c.op);
-        let floor = self.pins.get(&key).and_then(|p| p.answered_by).filter(|_| self.one_way && key.0 != 0);
+        let floor = self.pins.get(&key).and_then(|p| p.answered_by.max(p.claimed_by));
+        let floor = floor.filter(|_| self.one_way && key.0 != 0);
         let mut full = false;
         for build in self.choose_builds(c, floor).into_iter().flatten() {
             if !self.room(build, op) {
@@ -638,6 +642,9 @@
             self.exposed.push_back((sent, c.op * usize::from(self.by_op), build));
         }
         c.deliveries.push(Delivery { host, build, sent, open: true, may_have_run: true, started: false });
+        if c.key.0 != 0 {
+            self.pins.entry(c.key).or_default().claimed_by = Some(build);
+        }
         if self.hosts.in_flight[host] == 0 {
             self.hosts.mute_since[host] = sent;
         }
@@ -702,10 +709,14 @@
         if end == DeliveryEnd::Acked {
             self.ops[op].acks += 1.0;
             self.flow[1] += 1.0;
-            let newest = build.max(self.hosts.build[h]);
-            if key.0 != 0 && !self.sent_back(newest) {
-                let pin = self.pins.entry(key).or_default();
-                pin.answered_by = pin.answered_by.max(Some(newest));
+        }
+        let newest = build.max(self.hosts.build[h]);
+        if key.0 != 0 && !self.sent_back(newest) {
+            let pin = self.pins.entry(key).or_default();
+            // An answer may have been written that nobody could read: it binds the key as well.
+            match end.may_have_run() && end != DeliveryEnd::Error {
+                true => pin.answered_by = pin.answered_by.max(Some(newest)),
+                false => pin.claimed_by = None,
             }
         }
         if done || self.cmds[&cmd].ended {
@@ -787,11 +798,19 @@
         }
         match end {
             DeliveryEnd::Acked => {
-                self.hosts.strikes[h] = 0;
+                // It answers: a connection broke, or one command erred, and not the host.
+                if std::mem::take(&mut self.hosts.strikes[h]) > 0 {
+                    self.hosts.shut_until[h] = self.now;
+                }
                 self.hosts.answers[h] = self.hosts.answers[h].saturating_add(1);
             }
-            // Fast errors draw traffic by fewest in flight, which a fresh host does not bear.
-            DeliveryEnd::Error if self.hosts.answers[h] == 0 => self.strike(h, SECOND / 2),
+            // Fast errors draw traffic by fewest in flight: one that only errs loses what its answers earned.
+            DeliveryEnd::Error => {
+                self.hosts.answers[h] /= 2;
+                if self.hosts.answers[h] == 0 {
+                    self.strike(h, SECOND / 2);
+                }
+            }
             DeliveryEnd::Full => self.hosts.shut_until[h] = self.hosts.shut_until[h].max(self.now + 100 * MS),
             DeliveryEnd::NotConnected => {
                 self.hosts.linked_at[h] = Micros::MIN;
@@ -871,7 +890,8 @@
             let wrong = &mut self.sums[self.ops.len() + 1];
             *wrong = (*wrong - self.wrong_margin).max(0.0);
             let usual = self.old_fails[op].max(self.ops[op].counted_lost * self.blamed());
-            let gain = failed - usual - FAIL_MARGIN;
+            // Where much fails anyway, a failure more says less.
+            let gain = (failed - usual) * NOISE / (NOISE + usual) - FAIL_MARGIN;
             self.add(h, op, gain * self.proof(share));
             if known {
                 let excused = self.old_lag.max(self.by_load());
@@ -1114,7 +1134,9 @@
             return;
         }
         self.swept = self.now;
-        let (now, one_way) = (self.now, self.one_way);
-        self.pins.retain(|_, p| now - p.used < PIN_IDLE || one_way && p.answered_by.is_some());
+        let (now, one_way, newest) = (self.now, self.one_way, self.news.map(|n| n.build));
+        self.pins.retain(|_, p| {
+            now - p.used < PIN_IDLE || one_way && p.answered_by.is_some() && p.answered_by >= newest
+        });
     }
 }
--- a/crates/spokeflow-core/src/state.rs
+++ b/crates/spokeflow-core/src/state.rs
@@ -69,6 +69,8 @@
     pub used: Micros,
     /// The newest build that has answered this key: under one-way rules no way leads below it.
     pub answered_by: Option<BuildId>,
+    /// The build it was sent to last, unless that erred or cannot have run: it may answer at any time.
+    pub claimed_by: Option<BuildId>,
 }
 
 /// Figures about hosts, in parallel arrays under a dense index.
@@ -81,7 +83,7 @@
     /// Sent in the last slot of time, and which that was.
     pub sent: Vec<u32>,
     pub slot: Vec<Micros>,
-    /// Acked by the present process.
+    /// Acked by the present process; errors take them away again.
     pub answers: Vec<u32>,
     pub strikes: Vec<u32>,
     pub shut_until: Vec<Micros>,
--- a/crates/spokeflow-engine/src/input.rs
+++ b/crates/spokeflow-engine/src/input.rs
@@ -64,7 +64,8 @@
     /// The connection broke after the frame had left: it may have run.
     Reset,
     /// Nothing has come for so long that the router has dropped the connection itself: it may have run. No sign
-    /// that the host's process failed, since a way that is cut looks the same.
+    /// that the host's process failed, since a way that is cut looks the same. Or what has come cannot be read, and
+    /// the router waits no longer.
     Silent,
 }
 
--- a/crates/spokeflow-platform/src/hosts.rs
+++ b/crates/spokeflow-platform/src/hosts.rs
@@ -30,6 +30,7 @@
 pub struct Connection {
     stream: TcpStream,
     _place: OwnedSemaphorePermit,
+    since: Instant,
 }
 
 impl Connection {
@@ -45,7 +46,8 @@
 pub struct Unused(VecDeque<(Instant, Connection)>);
 
 impl Unused {
-    pub fn keep(&mut self, connection: Connection) {
+    pub fn keep(&mut self, mut connection: Connection) {
+        connection.since = Instant::now();
         self.0.push_back((Instant::now(), connection));
     }
 
@@ -132,6 +134,7 @@
 }
 
 /// What an answer comes to.
+#[derive(Debug)]
 enum Outcome {
     Message(FromHost),
     Lost(NoAnswer),
@@ -141,6 +144,7 @@
     pub async fn run(mut self) {
         let (ways, host, delivery) = (self.ways.clone(), self.host, self.delivery);
         let called = Instant::now();
+        let rested_us = self.unused.as_ref().map(|c| c.since.elapsed().as_micros() as u64);
         let (outcome, connection) = match self.send().await {
             Ok(connection) => {
                 ways.leaving.note(called.elapsed());
@@ -148,6 +152,18 @@
             }
             Err(end) => (Outcome::Lost(end), None),
         };
+        if !matches!(outcome, Outcome::Message(FromHost::Acked { .. })) {
+            debug!(
+                host = host.0,
+                delivery,
+                rested_us,
+                ?outcome,
+                took_us = called.elapsed().as_micros() as u64,
+                "no ack"
+            );
+        } else {
+            debug!(host = host.0, rested_us, "ack");
+        }
         let input = match outcome {
             Outcome::Message(message) => Input::FromHost { host: host.0, message },
             Outcome::Lost(end) => Input::NotDelivered { host: host.0, delivery, end },
@@ -176,7 +192,7 @@
             // Closing takes back what has not left: a delivery that is given up must not arrive later.
             let _ = stream.set_zero_linger();
             stream.write_all(&bytes).await.map_err(|_| "broken before the request had left")?;
-            Ok::<_, &str>(Connection { stream, _place: place })
+            Ok::<_, &str>(Connection { stream, _place: place, since: Instant::now() })
         };
         tokio::select! {
             biased;
@@ -216,8 +232,9 @@
                 if let Some(kept_back) = self.ways.clock.line() {
                     info!(host = self.host.0, kept_back, %fault, "answer cannot be read");
                 }
-                // The host is there and has answered, and what it ran is not known.
-                (Outcome::Message(FromHost::Error { delivery: self.delivery }), None)
+                // It may have run and is waited for no longer. No error: a good answer may have been written, which
+                // binds its key, and any host's may come spoilt, which is no sign of a build that fails.
+                (Outcome::Lost(NoAnswer::Silent), None)
             }
         }
     }
