Keys are bound by answers nobody read; noise, breaks and sick hosts weigh as what they are

Lines at fault: the floor of route() knew answers only; judge() weighed each failure alike and counted resets; health() struck for each reset and never for errors. Now a delivery claims its key until it errs or cannot have run; failures weigh less where much fails anyway; errors and breaks take away what a host's answers earned, and an answer opens it again; an answer that cannot be read is a delivery no longer waited for. A few keys carried a third of the traffic through a lane of a quarter (probe of each trial delivery): the lane's keys now come no faster than its machines bear. Connections' rests are learned: those of more than 128 ms broke in a third to a half of uses, others in 9 of 100.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -17,17 +17,18 @@
 const SECOND: Micros = 1_000_000;
 const MS: Micros = SECOND / 1000;
 const BEAT: Micros = 20 * MS;
-/// Part of the cap that the lane takes by itself, and how far keys follow the machines above that, so that
-/// further deliveries and keys which may not leave still find room.
+/// Part of the cap that the lane takes, and how far keys follow the machines above it: others need room too.
 const LANE_OF_CAP: f64 = 0.7;
 const REPIN_OF_CAP: f64 = 0.9;
+/// How far the lane runs ahead of its machines' part where the earlier ones are on their way out.
+const AHEAD: f64 = 1.25;
 const LANE_GROWS: Micros = 2 * SECOND;
 const PIN_IDLE: Micros = 10 * SECOND;
 /// Taken off each judged delivery beside the earlier build's rate, and off the reports of wrong answers.
 const FAIL_MARGIN: f64 = 0.02;
 const WRONG_MARGIN: f64 = 0.01;
 /// Failures at the earlier build, as a share, that halve what one more proves.
-const NOISE: f64 = 0.1;
+const NOISE: f64 = 0.05;
 /// What the desk's counts of one op type and period weigh, and slowness there that is laid to chance.
 const COUNT_WEIGHT: f64 = 1.5;
 const COUNT_MARGIN: f64 = 0.3;
@@ -103,14 +104,12 @@
     seen: u32,
     seen_in_stage: u32,
     old_lag: f64,
-    /// Of the desk's counts: trial deliveries in this stage, the end of the last period, what that and the
-    /// one before held of all builds, and what was usual.
+    /// Of the desk's counts: trial deliveries in this stage, the last period's end, the last two in all.
     counted_in_stage: f64,
     period: Micros,
     traffic: [f64; 2],
     usual_traffic: f64,
-    /// Of late: own deliveries lost, those of them that were a build's failures, the share of all without a
-    /// connection, and the mean of the load reports.
+    /// Of late: own deliveries lost, a build's failures among them, the share not connected, the mean load.
     losses: [f64; 2],
     refused: f64,
     busy: f64,
@@ -253,8 +252,7 @@
         let same_build = before.is_some_and(|b| b.build == news.build);
         if !same_build {
             self.seen = 0;
-            self.sums.fill(0.0);
-            self.hosts.blame.fill(0.0);
+            [&mut self.sums, &mut self.hosts.blame].into_iter().for_each(|proof| proof.fill(0.0));
         }
         if !same_build || before.is_some_and(|b| b.stage != news.stage || b.standing != news.standing) {
             self.stage_began = self.now - news.age;
@@ -264,8 +262,7 @@
         if self.sent_back(news.build) {
             // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
             self.pins.retain(|_, pin| {
-                pin.answered_by = pin.answered_by.filter(|b| *b != news.build);
-                pin.claimed_by = None;
+                (pin.answered_by, pin.claimed_by) = (pin.answered_by.filter(|b| *b != news.build), None);
                 pin.build != news.build || pin.answered_by.is_some()
             });
         }
@@ -396,10 +393,8 @@
             c.is_none_or(|c| self.now >= self.waits_until(c))
         };
         let due: Vec<CommandId> = self.held.iter().flatten().copied().filter(over).collect();
-        if !due.is_empty() {
-            let over: BTreeSet<CommandId> = due.iter().copied().collect();
-            self.held.iter_mut().for_each(|held| held.retain(|cmd| !over.contains(cmd)));
-        }
+        let over: BTreeSet<CommandId> = due.iter().copied().collect();
+        self.held.iter_mut().for_each(|held| held.retain(|cmd| !over.contains(cmd)));
         for cmd in due {
             self.route(cmd, out);
         }
@@ -421,17 +416,13 @@
         if self.sent_back(new) || c.deliveries.iter().any(|d| self.on_trial(d.build)) {
             return [stable, trial];
         }
-        let in_lane = c.place < self.lane;
+        // A few keys may carry much of the traffic: the lane's come no faster than its machines bear, and no
+        // more follow than the earlier build's machines have become fewer.
+        let exposed = self.exposed.iter().filter(|e| e.2 == new).count() as f64;
+        let bears = self.trial_share(new, old) * self.taken.len().max(1) as f64;
         let pin = self.pins.get(&c.key).filter(|p| c.key.0 != 0 && self.now - p.used < PIN_IDLE);
-        let takes_new = match pin {
-            Some(pin) if pin.build == new => true,
-            // The earlier build's machines have become fewer than its share of the pinned keys.
-            Some(_) => {
-                let exposed = self.exposed.iter().filter(|e| e.2 == new).count() as f64;
-                in_lane && self.trial_share(new, old) * self.taken.len().max(1) as f64 > exposed
-            }
-            None => in_lane,
-        };
+        let ahead = if pin.is_none() && self.rolling { AHEAD } else { 1.0 };
+        let takes_new = pin.is_some_and(|p| p.build == new) || c.place < self.lane && ahead * bears > exposed;
         [if takes_new { trial } else { stable }, stable.filter(|_| takes_new)]
     }
 
@@ -467,7 +458,7 @@
         let cap = self.cap(new).max(0.0);
         let share = stable.map_or(1.0, |old| self.trial_share(new, old));
         let follow = share.min(if cap < 1.0 { REPIN_OF_CAP * cap } else { 1.0 });
-        let ahead = if self.rolling { 1.25 } else { 1.0 };
+        let ahead = if self.rolling { AHEAD } else { 1.0 };
         let aim = (LANE_OF_CAP * cap).min(ahead * share).max(follow);
         self.lane = self.lane.max(aim.min(self.lane + spent * aim.max(0.02))).min(cap);
     }
@@ -537,8 +528,7 @@
         if self.refused > MOST_REFUSED && pool.iter().any(linked) {
             pool.retain(linked);
         }
-        // What runs at most once goes where answers come back; a host under suspicion is tried by other
-        // commands.
+        // What runs at most once goes where answers come back; others try a host under suspicion.
         let proven = |h: &usize| self.hosts.strikes[*h] == 0;
         if (rules.repeat == Repeat::AtMostOnce || self.spare < 1.0) && pool.iter().any(proven) {
             pool.retain(proven);
@@ -585,9 +575,8 @@
         1.0 + hosts.drain(own..).len() as f64 / own as f64
     }
 
-    /// Guards against piling up: no more is out than what lately came back within a part of the service
-    /// target. It could harm where answers return after a gap. An op type that waits at every host alike is
-    /// counted by itself: it would fill the bound for all others.
+    /// Guards against piling up: no more is out than lately came back within a part of the service target. It
+    /// could harm where answers return after a gap. An op type that waits everywhere is counted by itself.
     fn crowded(&self, op: usize) -> bool {
         let base = 2.0 + 2.0 * self.ready().count() as f64 / self.fleet;
         let wait = self.detour(1, op);
@@ -611,8 +600,8 @@
     }
 
     /// A fresh host gets no more in flight than its answers have earned, and over each told span a router's
-    /// own part of what the fleet may send it. Parts under one are drawn, so that many add up. What is sent
-    /// counts, for hosts that err fast. One that has failed gets one command at a time.
+    /// own part of what the fleet may send it, drawn where under one. What is sent counts, for hosts that err
+    /// fast. One that has failed gets one command at a time.
     fn may_take(&self, h: usize, of_own: f64) -> bool {
         let (host, age) = (self.hosts.line[h].host.0, self.age(h));
         if age < self.warm_within + SECOND {
@@ -642,9 +631,7 @@
             self.exposed.push_back((sent, c.op * usize::from(self.by_op), build));
         }
         c.deliveries.push(Delivery { host, build, sent, open: true, may_have_run: true, started: false });
-        if c.key.0 != 0 {
-            self.pins.entry(c.key).or_default().claimed_by = Some(build);
-        }
+        self.pins.entry(c.key).or_default().claimed_by = Some(build);
         if self.hosts.in_flight[host] == 0 {
             self.hosts.mute_since[host] = sent;
         }
@@ -690,10 +677,9 @@
         let (h, build, op, key, share) = (d.host, d.build, c.op, c.key, c.share);
         self.hosts.in_flight[h] = self.hosts.in_flight[h].saturating_sub(1);
         self.ops[op].out -= 1;
-        if end == DeliveryEnd::Error && nth == 0 {
-            // What errs at once is no load: it must not excuse slowness.
-            self.flow[0] = (self.flow[0] - 1.0).max(0.0);
-        }
+        // What errs at once is no load: it must not excuse slowness.
+        let at_once = end == DeliveryEnd::Error && nth == 0;
+        self.flow[0] = (self.flow[0] - f64::from(u8::from(at_once))).max(0.0);
         if matches!(end, DeliveryEnd::Acked | DeliveryEnd::TimedOut) {
             let rules = &mut self.ops[op];
             let step = if took as f64 > rules.target * rules.strain.exp() { 0.2 } else { -0.2 };
@@ -706,10 +692,9 @@
             self.judge(h, op, share, end, took);
             self.health(h, end);
         }
-        if end == DeliveryEnd::Acked {
-            self.ops[op].acks += 1.0;
-            self.flow[1] += 1.0;
-        }
+        let acked = f64::from(u8::from(end == DeliveryEnd::Acked));
+        self.ops[op].acks += acked;
+        self.flow[1] += acked;
         let newest = build.max(self.hosts.build[h]);
         if key.0 != 0 && !self.sent_back(newest) {
             let pin = self.pins.entry(key).or_default();
@@ -804,8 +789,8 @@
                 }
                 self.hosts.answers[h] = self.hosts.answers[h].saturating_add(1);
             }
-            // Fast errors draw traffic by fewest in flight: one that only errs loses what its answers earned.
-            DeliveryEnd::Error => {
+            // Fast errors draw traffic by fewest in flight: who errs or breaks loses what its answers earned.
+            DeliveryEnd::Error | DeliveryEnd::Reset => {
                 self.hosts.answers[h] /= 2;
                 if self.hosts.answers[h] == 0 {
                     self.strike(h, SECOND / 2);
@@ -817,7 +802,6 @@
                 self.learn_way(0, self.hosts.line[h].zone.0.into(), 2.0);
                 self.strike(h, SECOND / 2);
             }
-            DeliveryEnd::Reset => self.strike(h, SECOND / 2),
             DeliveryEnd::TimedOut if self.mute(h) || self.hosts.strikes[h] > 0 => self.strike(h, SECOND),
             _ => {}
         }
@@ -853,9 +837,9 @@
         let failed = match end {
             DeliveryEnd::Acked => 0.0,
             DeliveryEnd::Error => 1.0,
-            // One crash breaks all that was out at the host: that is one failure; a time-out is none where
-            // the host has answered nobody meanwhile.
-            DeliveryEnd::Reset if self.now >= self.hosts.shut_until[h] => 1.0,
+            // Ways break connections too, and one crash breaks all that was out at the host: that is one
+            // failure, of one that does little else; a time-out is none where it has answered nobody meanwhile.
+            DeliveryEnd::Reset if self.hosts.answers[h] < 2 && self.now >= self.hosts.shut_until[h] => 1.0,
             DeliveryEnd::TimedOut if (took as f64) < self.ops[op].target => return,
             DeliveryEnd::TimedOut if self.detour(1, op) > 0.0 => return self.learn_way(1, op, 2.0),
             // A full fleet times out too: that is slowness, which more traffic excuses, and no failure.
@@ -875,9 +859,7 @@
         let slower = if acked { (time - usual - unsure).clamp(-2.0, 2.0) } else { 2.0 * (1.0 - failed) };
         let late = if known { slower } else { 0.0 };
         let ways = [(0, self.hosts.line[h].zone.0.into()), (1, op), (2, share)];
-        if known {
-            ways.iter().for_each(|&(kind, n)| self.learn_way(kind, n, late));
-        }
+        ways.iter().filter(|_| known).for_each(|&(kind, n)| self.learn_way(kind, n, late));
         let late = late - ways.map(|(kind, n)| self.detour(kind, n)).into_iter().fold(0.0, f64::max);
         self.hosts.lag[h] += 0.15 * (late - self.hosts.lag[h]);
         if known {
@@ -1059,8 +1041,7 @@
         let alike = if self.gate == Gate::Majority { 1 } else { self.fleet as u32 };
         let enough = (ENOUGH_ANSWERS * ENOUGH_ANSWERS / alike).clamp(1, ENOUGH_ANSWERS);
         let known = self.seen_in_stage >= enough || self.counted_in_stage >= f64::from(3 * enough);
-        // Side by side a stage is cheaply taken back and a release is not: its vote waits for the whole
-        // traffic.
+        // Side by side a stage is cheaply taken back and a release is not: its vote waits for all traffic.
         let last = usize::from(news.stage) + 1 >= self.stage_shares.len();
         let due = match (self.rolling, last) {
             (true, _) => waited >= self.go_wait && known || waited >= 3 * self.go_wait,
@@ -1109,8 +1090,7 @@
         self.forget_window();
         let load = self.load();
         // Guards against a storm, and a fleet most of which has died: what is asked counts only until answers
-        // can, and what the dead have answered over the time they lived. It could harm where traffic grows
-        // fast.
+        // can, and what the dead have answered while they lived. It could harm where traffic grows fast.
         let whole: f64 = self.ready().map(|h| self.warmth(h)).sum();
         self.lived = self.lived * fade.powf(0.25) + whole * (self.now - self.beaten) as f64 / SECOND as f64;
         let young = f64::from(u8::from(self.now < self.born + 5 * SECOND));
@@ -1134,9 +1114,7 @@
             return;
         }
         self.swept = self.now;
-        let (now, one_way, newest) = (self.now, self.one_way, self.news.map(|n| n.build));
-        self.pins.retain(|_, p| {
-            now - p.used < PIN_IDLE || one_way && p.answered_by.is_some() && p.answered_by >= newest
-        });
+        let (now, one_way) = (self.now, self.one_way);
+        self.pins.retain(|_, p| now - p.used < PIN_IDLE || one_way && p.answered_by.is_some());
     }
 }
--- a/crates/spokeflow-platform/src/hosts.rs
+++ b/crates/spokeflow-platform/src/hosts.rs
@@ -20,6 +20,7 @@
 use tracing::{debug, info};
 
 use crate::clients::BODY_LIMIT;
+use crate::reuse::Reuse;
 use crate::serve::Arrival;
 use crate::Clock;
 
@@ -30,7 +31,6 @@
 pub struct Connection {
     stream: TcpStream,
     _place: OwnedSemaphorePermit,
-    since: Instant,
 }
 
 impl Connection {
@@ -46,16 +46,18 @@
 pub struct Unused(VecDeque<(Instant, Connection)>);
 
 impl Unused {
-    pub fn keep(&mut self, mut connection: Connection) {
-        connection.since = Instant::now();
+    pub fn keep(&mut self, connection: Connection) {
         self.0.push_back((Instant::now(), connection));
     }
 
-    /// The one used last that still stands.
-    pub fn take(&mut self) -> Option<Connection> {
-        while let Some((_, connection)) = self.0.pop_back() {
-            if connection.is_quiet() {
-                return Some(connection);
+    /// The one used last that still stands, if so short a rest is allowed; what has rested longer goes with it.
+    pub fn take(&mut self, reuse: &Reuse) -> Option<(u64, Connection)> {
+        while let Some((since, connection)) = self.0.pop_back() {
+            let rested = since.elapsed().as_micros() as u64;
+            if !reuse.allows(rested) {
+                self.0.clear();
+            } else if connection.is_quiet() {
+                return Some((rested, connection));
             }
         }
         None
@@ -128,6 +130,8 @@
     pub request: Bytes,
     pub left_us: u64,
     pub unused: Option<Connection>,
+    /// Microseconds that it has rested.
+    pub rested: Option<u64>,
     pub place: Option<OwnedSemaphorePermit>,
     /// Ends the delivery as long as its last byte has not left: the host drains, or is another process.
     pub halt: oneshot::Receiver<()>,
@@ -144,7 +148,6 @@
     pub async fn run(mut self) {
         let (ways, host, delivery) = (self.ways.clone(), self.host, self.delivery);
         let called = Instant::now();
-        let rested_us = self.unused.as_ref().map(|c| c.since.elapsed().as_micros() as u64);
         let (outcome, connection) = match self.send().await {
             Ok(connection) => {
                 ways.leaving.note(called.elapsed());
@@ -152,23 +155,33 @@
             }
             Err(end) => (Outcome::Lost(end), None),
         };
-        if !matches!(outcome, Outcome::Message(FromHost::Acked { .. })) {
-            debug!(
-                host = host.0,
-                delivery,
-                rested_us,
-                ?outcome,
-                took_us = called.elapsed().as_micros() as u64,
-                "no ack"
-            );
-        } else {
-            debug!(host = host.0, rested_us, "ack");
-        }
+        debug!(
+            host = host.0,
+            delivery,
+            rested = self.rested,
+            took_us = called.elapsed().as_micros() as u64,
+            ?outcome,
+            "delivery ended"
+        );
+        let broke = match outcome {
+            Outcome::Message(_) => Some(false),
+            Outcome::Lost(NoAnswer::Reset) => Some(true),
+            Outcome::Lost(_) => None,
+        };
         let input = match outcome {
             Outcome::Message(message) => Input::FromHost { host: host.0, message },
             Outcome::Lost(end) => Input::NotDelivered { host: host.0, delivery, end },
         };
-        let _ = ways.core.send(Arrival::Delivered { host, delivery, input, connection }).await;
+        let _ = ways
+            .core
+            .send(Arrival::Delivered {
+                host,
+                delivery,
+                input,
+                connection,
+                broke: broke.map(|broke| (self.rested, broke)),
+            })
+            .await;
     }
 
     /// Writes the request whole, on an unused connection or on a new one. Nothing has run where it cannot.
@@ -176,12 +189,14 @@
         let bytes = self.written();
         let (unused, place) = (self.unused.take(), self.place.take());
         let (address, within) = (self.address, self.ways.connect_timeout);
+        let rested = &mut self.rested;
         let sending = async move {
             let mut place = place;
             if let Some(mut connection) = unused {
                 if connection.stream.write_all(&bytes).await.is_ok() {
                     return Ok(connection);
                 }
+                *rested = None;
                 // It was closed meanwhile and not a whole request has left on it: a new one is no repeat.
                 place = Some(connection._place);
             }
@@ -192,7 +207,7 @@
             // Closing takes back what has not left: a delivery that is given up must not arrive later.
             let _ = stream.set_zero_linger();
             stream.write_all(&bytes).await.map_err(|_| "broken before the request had left")?;
-            Ok::<_, &str>(Connection { stream, _place: place, since: Instant::now() })
+            Ok::<_, &str>(Connection { stream, _place: place })
         };
         tokio::select! {
             biased;
--- a/crates/spokeflow-platform/src/lib.rs
+++ b/crates/spokeflow-platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod log;
 mod program;
+mod reuse;
 mod roster;
 mod serve;
 
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::discovery::Watching;
 use crate::hosts::{Attempt, Connection, Leaving, Unused, Ways};
 use crate::program::PlatformProgram;
+use crate::reuse::Reuse;
 use crate::roster::{Listing, Roster};
 use crate::{Clock, Configuration};
 
@@ -43,13 +44,31 @@
 
 /// What reaches the task that owns the engine.
 pub enum Arrival {
-    Command { conn: u64, id: Bytes, command: Command, answer: oneshot::Sender<ToClient> },
+    Command {
+        conn: u64,
+        id: Bytes,
+        command: Command,
+        answer: oneshot::Sender<ToClient>,
+    },
     ClientGone(u64),
-    Delivered { host: HostId, delivery: u64, input: Input, connection: Option<Connection> },
+    Delivered {
+        host: HostId,
+        delivery: u64,
+        input: Input,
+        connection: Option<Connection>,
+        broke: Option<(Option<u64>, bool)>,
+    },
     Listed(Listing),
     News(News),
-    Report { unit: String, ago_us: u64 },
-    Voted { ballot: u64, result: Option<BallotResult>, news: Option<News> },
+    Report {
+        unit: String,
+        ago_us: u64,
+    },
+    Voted {
+        ballot: u64,
+        result: Option<BallotResult>,
+        news: Option<News>,
+    },
 }
 
 struct Host {
@@ -81,6 +100,7 @@
     hosts: HashMap<HostId, Host>,
     out: HashMap<u64, Out>,
     places: Arc<Semaphore>,
+    reuse: Reuse,
     deployer: watch::Sender<SocketAddr>,
     vote_wait: Duration,
 }
@@ -108,7 +128,7 @@
     fn deliver(&mut self, host: HostId, delivery: u64, left_us: u64, request: Bytes) -> bool {
         let Some(known) = self.hosts.get_mut(&host).filter(|h| h.open) else { return false };
         let (address, incarnation) = (known.address, known.incarnation);
-        let unused = known.unused.take();
+        let (rested, unused) = known.unused.take(&self.reuse).unzip();
         let place = if unused.is_none() { self.place() } else { None };
         if unused.is_none() && place.is_none() {
             return false;
@@ -116,7 +136,7 @@
         let (halt, halted) = oneshot::channel();
         let ways = self.ways.clone();
         let attempt =
-            Attempt { ways, host, delivery, address, request, left_us, unused, place, halt: halted };
+            Attempt { ways, host, delivery, address, request, left_us, unused, rested, place, halt: halted };
         let task = tokio::spawn(attempt.run()).abort_handle();
         self.out.insert(delivery, Out { host, incarnation, halt: Some(halt), task });
         true
@@ -255,7 +275,10 @@
                 }
                 self.give(Input::ClientGone { conn });
             }
-            Arrival::Delivered { host, delivery, input, connection } => {
+            Arrival::Delivered { host, delivery, input, connection, broke } => {
+                if let Some((rested, broke)) = broke {
+                    self.wires.reuse.learn(rested, broke);
+                }
                 self.wires.delivered(host, delivery, connection);
                 self.give(input);
             }
@@ -343,6 +366,7 @@
         hosts: HashMap::new(),
         out: HashMap::new(),
         places: Arc::new(Semaphore::new(host_places)),
+        reuse: Reuse::default(),
         deployer,
         vote_wait: span(service.vote_wait),
     };
