--- a/crates/spokeflow-router/tests/platform.rs
+++ b/crates/spokeflow-router/tests/platform.rs
@@ -140,9 +140,8 @@
 fn more_than_the_answer_is_given_to_nobody() {
     run(async {
         let host = Host::start(|n| {
-            let mut bytes = ok(&format!("answer {n}"));
-            bytes.extend(ok(&format!("answer {n}")));
-            Deed::Say(bytes)
+            let bytes = ok(&format!("answer {n}"));
+            Deed::SayMore(bytes.clone(), Duration::from_millis(20), bytes)
         })
         .await;
         let scene = with_host(&host).await;
@@ -150,6 +149,7 @@
         for n in 0..5 {
             let answer = exchange(&mut client, &read(&format!("r{n}"))).await.unwrap();
             assert_eq!((status(&answer), body(&answer)), (Some(200), format!("answer {n}").as_str()));
+            sleep(Duration::from_millis(60)).await;
         }
     });
 }
@@ -263,13 +263,15 @@
         let host = Host::start(|_| Deed::Say(ok("good"))).await;
         let (desk, _) = deployer(vec![]).await;
         let scene = Scene::start(list(1, &[("s-a", &host.address, "Ready", 1)]), &desk, 64).await;
-        let mut silent = Vec::new();
+        let (mut silent, begun) = (Vec::new(), Instant::now());
         for n in 0..300 {
             silent.push(scene.connect().await);
             if n % 50 == 0 {
                 assert_eq!(scene.status(&read(&format!("r{n}"))).await, Some(200));
             }
         }
+        // Without room made for them they would wait until the silent ones' time is up.
+        assert!(begun.elapsed() < Duration::from_millis(1900), "{:?}", begun.elapsed());
         for client in &mut silent {
             let closed = timeout(Duration::from_secs(3), read_message(client)).await;
             assert_eq!(closed.expect("closed in time"), None);
--- a/crates/spokeflow-router/tests/scene/mod.rs
+++ b/crates/spokeflow-router/tests/scene/mod.rs
@@ -20,6 +20,8 @@
     /// Writes these bytes and goes on.
     Say(Vec<u8>),
     SayAfter(Duration, Vec<u8>),
+    /// Says this, and after a pause what belongs to nobody.
+    SayMore(Vec<u8>, Duration, Vec<u8>),
     /// Ends the connection unanswered.
     Break,
 }
@@ -60,6 +62,13 @@
                                 sleep(pause).await;
                                 bytes
                             }
+                            Deed::SayMore(first, pause, more) => {
+                                if stream.write_all(&first).await.is_err() {
+                                    return;
+                                }
+                                sleep(pause).await;
+                                more
+                            }
                             Deed::Break => return,
                         };
                         if stream.write_all(&bytes).await.is_err() {
