Bad builds are convicted at fleet size: going on waits, votes take turns, voices among hosts met

Followed by request id through the routers' lines, which now name it: commands wait 0.12 s and are nacked, or come back late; clients come again 2.5 times. Ruled out: cold hosts overrun, connections (20 of 192 a router), processor time (10 ms in the busiest second). Change: going on waits until a router of mean traffic can have met as many answers as convict, times the part that follows; votes to go on take a drawn turn over twice the time in which the desk takes one from all; voices are counted among the hosts a router keeps to. The settings' vote_allowance is read (--votes-a-second). Tests: three on a fleet of 300; each guard was taken out and its test failed.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -1,11 +1,8 @@
 //! The decision module: one `Router` a process, told what happens by calls, answering through `Egress`.
 //!
-//! How to call it: `Router::new` with the deployment's terms, then `at` with the time and one method for each
-//! thing that happens (`listed`, `told`, `command`, `ended`, `woken`, ...), in order. It acts by calls on the
-//! `Egress` given along (`egress.rs`); terms and ids are plain types, what it keeps in mind is in `state.rs`.
-//!
-//! A command runs the chain intake, lane, exposure, placement, dispatch; what comes back runs through settle,
-//! health and the judge. `docs/design.md` tells what was kept of the design and what was added, and why.
+//! Call `Router::new` with the deployment's terms, then `at` with the time and one method for each thing that
+//! happens, in order. A command runs the chain intake, lane, exposure, placement, dispatch; what comes back
+//! runs through settle, health and the judge. `docs/design.md` tells what was kept, what was added, and why.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -13,7 +10,6 @@
 use crate::*;
 
 type Out<'a> = &'a mut dyn Egress;
-
 const SECOND: Micros = 1_000_000;
 const MS: Micros = SECOND / 1000;
 const BEAT: Micros = 20 * MS;
@@ -48,6 +44,8 @@
 const MOST_VOICES: f64 = 8.0;
 /// Routers that each host is met by at least: uneven traffic evens out.
 const MET_BY: f64 = 60.0;
+/// Answers that convict at the least, of which a router of mean traffic gets so many before all follow.
+const CONVICTS: f64 = SEND_BACK_AT / (LATE_WEIGHT * (2.0 - LATE_MARGIN));
 /// Part of what the told multiple allows a cold host that is sent to it.
 const COLD_PART: f64 = 0.9;
 /// Share of the commands that may be delivered again at a guess, and the most saved up.
@@ -141,6 +139,10 @@
     one_way: bool,
     rolling: bool,
     go_wait: Micros,
+    /// Commands a second of a router of mean traffic; how long the desk takes for all votes; the own turn.
+    even: f64,
+    vote_span: f64,
+    own_turn: Micros,
     vote_life: Micros,
     vote_wait: Micros,
     /// Less than 1 where so few routers send a build back that the hastiest would decide for all.
@@ -156,8 +158,8 @@
             out.watch_list();
         }
         let quorum = terms.gate != Gate::Single && terms.back_votes > 0;
-        let share = f64::from(terms.back_votes) / f64::from(terms.fleet_size.max(1));
-        let few = if quorum { (share / 0.2).min(1.0) } else { 1.0 };
+        let fleet = f64::from(terms.fleet_size.max(1));
+        let few = if quorum { (f64::from(terms.back_votes) / fleet / 0.2).min(1.0) } else { 1.0 };
         // Where a quorum decides, one report lets a router speak: false ones strike few at a time.
         let alone = (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5);
         let complaint_weight = if quorum { 1.3 * SEND_BACK_AT * few } else { alone };
@@ -175,7 +177,7 @@
             born: now,
             spare: SPARE_AT_MOST / 2.0,
             ask_list_at: terms.list_must_be_asked.then_some(now + 5 * SECOND),
-            fleet: f64::from(terms.fleet_size.max(1)),
+            fleet,
             own_index: terms.own_index,
             delivery_cap: terms.delivery_cap.min(4) as usize,
             side_by_side: terms.side_by_side,
@@ -196,6 +198,8 @@
             one_way: terms.forward_only,
             // The desk's clock starts about a second after the machines run; a vote before that stands idle.
             go_wait: terms.stage_bake + SECOND,
+            even: terms.shares.iter().copied().reduce(|a, b| a + b).unwrap_or(f64::INFINITY) / fleet,
+            vote_span: 2.0 * fleet / terms.votes_a_second * SECOND as f64,
             vote_life: terms.vote_life,
             vote_wait: terms.vote_wait,
             few,
@@ -257,6 +261,7 @@
         if !same_build || before.is_some_and(|b| b.stage != news.stage || b.standing != news.standing) {
             self.stage_began = self.now - news.age;
             (self.seen_in_stage, self.vote, self.vote_again_at) = (0, None, self.now);
+            self.own_turn = (self.chance.share() * self.vote_span) as Micros;
             self.counted_in_stage = 0.0;
         }
         if self.sent_back(news.build) {
@@ -389,8 +394,7 @@
     /// Gives up on those that have waited in vain while the hosts were full.
     fn lapse(&mut self, out: Out) {
         let over = |cmd: &CommandId| {
-            let c = self.cmds.get(cmd).filter(|c| !c.ended);
-            c.is_none_or(|c| self.now >= self.waits_until(c))
+            self.cmds.get(cmd).filter(|c| !c.ended).is_none_or(|c| self.now >= self.waits_until(c))
         };
         let due: Vec<CommandId> = self.held.iter().flatten().copied().filter(over).collect();
         let over: BTreeSet<CommandId> = due.iter().copied().collect();
@@ -452,9 +456,8 @@
     fn grow_lane(&mut self) {
         let spent = (self.now - self.beaten) as f64 / LANE_GROWS as f64;
         let (stable, Some(new)) = self.candidates() else { return };
-        if self.lane_build != new {
-            (self.lane_build, self.lane) = (new, 0.0);
-        }
+        self.lane = if self.lane_build == new { self.lane } else { 0.0 };
+        self.lane_build = new;
         let cap = self.cap(new).max(0.0);
         let share = stable.map_or(1.0, |old| self.trial_share(new, old));
         let follow = share.min(if cap < 1.0 { REPIN_OF_CAP * cap } else { 1.0 });
@@ -483,12 +486,8 @@
 
     fn forget_window(&mut self) {
         let from = self.now - self.span;
-        while self.taken.front().is_some_and(|t| t.0 <= from) {
-            self.taken.pop_front();
-        }
-        while self.exposed.front().is_some_and(|t| t.0 < from) {
-            self.exposed.pop_front();
-        }
+        self.taken.drain(..self.taken.partition_point(|t| t.0 <= from));
+        self.exposed.drain(..self.exposed.partition_point(|t| t.0 < from));
     }
 
     // ---- Placement ----
@@ -562,11 +561,16 @@
         f64::from(self.hosts.in_flight[h] + 1) * crawl / (1.05 - busy)
     }
 
+    /// How many of so many hosts a router with little traffic keeps to.
+    fn own_of(&self, hosts: usize) -> usize {
+        let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
+        ((hosts as f64 * met.max(sent)).ceil() as usize).max(2)
+    }
+
     /// Guards against a new connection for nearly every command: a router with little traffic keeps to a few
     /// hosts, its own by hash. Answers how much more of the traffic those get for that.
     fn keep_own(&self, hosts: &mut Vec<usize>) -> f64 {
-        let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
-        let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
+        let own = self.own_of(hosts.len());
         if own >= hosts.len() {
             return 1.0;
         }
@@ -592,11 +596,8 @@
     /// Guards against hosts that take work and answer nothing, long before their first time-out.
     fn mute(&self, h: usize) -> bool {
         let quiet = self.now.saturating_sub(self.hosts.mute_since[h]);
-        if self.hosts.in_flight[h] == 0 || quiet <= 600 * MS {
-            return false;
-        }
-        let usual = self.ops.iter().map(|o| o.usual.exp()).fold(0.0, f64::max) as Micros;
-        quiet > 6 * usual
+        let usual = || self.ops.iter().map(|o| o.usual.exp()).fold(0.0, f64::max) as Micros;
+        self.hosts.in_flight[h] > 0 && quiet > 600 * MS && quiet > 6 * usual()
     }
 
     /// A fresh host gets no more in flight than its answers have earned, and over each told span a router's
@@ -606,7 +607,7 @@
         let (host, age) = (self.hosts.line[h].host.0, self.age(h));
         if age < self.warm_within + SECOND {
             let (slot, begun) = (age / self.fall_span, self.now - age);
-            let sent = if self.hosts.slot[h] == slot { self.hosts.sent[h] } else { 0 };
+            let sent = self.hosts.sent[h] * u32::from(self.hosts.slot[h] == slot);
             // The first span is met by no other before it.
             let part = self.cold_part * self.warmth(h) * self.pace * of_own / (1 + slot.min(1)) as f64;
             let drawn = unit(u64::from(host) << 32 ^ u64::from(self.own_index) << 12 ^ (begun + slot) as u64);
@@ -627,14 +628,11 @@
         let (build, sent) = (self.hosts.build[host], self.now);
         let (on_trial, slot) = (self.on_trial(build), self.age(host) / self.fall_span);
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
-        if on_trial {
-            self.exposed.push_back((sent, c.op * usize::from(self.by_op), build));
-        }
+        self.exposed.extend(on_trial.then_some((sent, c.op * usize::from(self.by_op), build)));
         c.deliveries.push(Delivery { host, build, sent, open: true, may_have_run: true, started: false });
         self.pins.entry(c.key).or_default().claimed_by = Some(build);
-        if self.hosts.in_flight[host] == 0 {
-            self.hosts.mute_since[host] = sent;
-        }
+        let since = &mut self.hosts.mute_since[host];
+        *since = if self.hosts.in_flight[host] == 0 { sent } else { *since };
         self.hosts.in_flight[host] += 1;
         self.ops[c.op].out += 1;
         let same = u32::from(std::mem::replace(&mut self.hosts.slot[host], slot) == slot);
@@ -902,10 +900,11 @@
         FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
 
-    /// Two in five of a build's hosts convict it, two at least of three, for slowness always: each may bring
-    /// only its part. It could harm where a build fails rarely on many hosts.
+    /// Two in five of a build's hosts that are met convict it, two at least of three, for slowness always:
+    /// each may bring only its part. It could harm where a build fails rarely on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
+        let peers = peers.min(self.own_of(peers));
         let voices = [0.5, 0.5, 1.5].get(peers).copied();
         let voices = voices.unwrap_or((0.4 * peers as f64).clamp(2.0, MOST_VOICES));
         let most = SEND_BACK_AT / if which == self.ops.len() { voices.max(1.5) } else { voices };
@@ -955,9 +954,8 @@
         }
     }
 
-    /// What the desk counted of all routers' deliveries: it stands in for answers where a router sees few of
-    /// its own. One period brings a part of the proof at most. Guards against builds that no single router
-    /// sees enough of; it could harm where troubles strike trial hosts only.
+    /// What the desk counted of all routers' deliveries stands in for answers where a router sees few. One
+    /// period brings a part of the proof at most. It could harm where troubles strike trial hosts only.
     pub fn counted(&mut self, count: DeskCount) {
         let (op, n) = (usize::from(count.op.0), f64::from(count.sampled));
         let Some(news) = self.news.filter(|_| op < self.ops.len() && n > 0.0) else { return };
@@ -1037,14 +1035,18 @@
             count > 0 && count as f64 >= (share * self.ready().filter(earlier).count() as f64).floor();
         let unlisted = Micros::from(!complete && latest <= self.stage_began);
         let waited = self.now - latest.max(self.stage_began) - unlisted * 8 * SECOND;
-        // Where one vote is enough, what a quiet router has seen the whole fleet has seen many times over.
-        let alike = if self.gate == Gate::Majority { 1 } else { self.fleet as u32 };
+        // Where one vote is enough, the fleet has seen many times what a quiet router has; but the one that
+        // speaks against a build has to see enough of it alone, the more so the more hosts follow.
+        let more = self.stage_shares.get(usize::from(news.stage) + 1).map_or(0.0, |next| next - share);
+        let (alike, more) = if self.gate == Gate::Majority { (1, 0.0) } else { (self.fleet as u32, more) };
         let enough = (ENOUGH_ANSWERS * ENOUGH_ANSWERS / alike).clamp(1, ENOUGH_ANSWERS);
         let known = self.seen_in_stage >= enough || self.counted_in_stage >= f64::from(3 * enough);
+        let met = self.even * share * waited as f64 / SECOND as f64;
+        let pauses = if known && met >= CONVICTS * more { 1 } else { 3 };
         // Side by side a stage is cheaply taken back and a release is not: its vote waits for all traffic.
         let last = usize::from(news.stage) + 1 >= self.stage_shares.len();
         let due = match (self.rolling, last) {
-            (true, _) => waited >= self.go_wait && known || waited >= 3 * self.go_wait,
+            (true, _) => waited >= pauses * self.go_wait + self.own_turn,
             (false, true) => complete && waited >= 4 * self.go_wait,
             (false, false) => true,
         };
@@ -1110,10 +1112,9 @@
             self.ask_list_at = Some(self.now + 5 * SECOND);
             out.watch_list();
         }
-        if self.now - self.swept < SECOND / 2 {
-            return;
+        if self.now - self.swept >= SECOND / 2 {
+            self.swept = self.now;
+            self.pins.retain(|_, p| self.now - p.used < PIN_IDLE || self.one_way && p.answered_by.is_some());
         }
-        self.swept = self.now;
-        self.pins.retain(|_, p| self.now - p.used < PIN_IDLE || self.one_way && p.answered_by.is_some());
     }
 }
--- a/crates/spokeflow-core/src/terms.rs
+++ b/crates/spokeflow-core/src/terms.rs
@@ -75,8 +75,10 @@
     pub vote_life: Micros,
     pub vote_wait: Micros,
     pub complaint_share: f64,
-    /// Routers whose votes send a build back; 0 where that is not told.
+    /// Routers whose votes send a build back; infinite where that is not told.
     pub back_votes: u32,
+    /// Votes that the desk takes a second from all routers together; 0 where that is not told.
+    pub votes_a_second: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/spokeflow-core/tests/common/mod.rs
+++ b/crates/spokeflow-core/tests/common/mod.rs
@@ -62,6 +62,7 @@
         vote_wait: 2 * SECOND,
         complaint_share: 0.2,
         back_votes: 0,
+        votes_a_second: f64::INFINITY,
     }
 }
 
--- a/crates/spokeflow-core/tests/plain.rs
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -614,3 +614,75 @@
     serve(&mut router, &mut ledger, 4 * SECOND, |_, _, _| (DeliveryEnd::Acked, 400 * MS));
     assert_eq!(votes(&ledger, Verdict::Back), 0);
 }
+
+/// Three hundred routers and this one, of more than mean traffic: sixty old hosts, forty of the new build, twelve seconds up.
+fn large_fleet(seed: u64, change: impl Fn(&mut ServiceTerms)) -> (Router, Ledger) {
+    let mut terms = terms(Gate::Single);
+    (terms.fleet_size, terms.shares) = (300, vec![600.0, 300.0]);
+    change(&mut terms);
+    let (mut router, mut ledger) = Ledger::start(terms, seed);
+    ledger.tell(&mut router, news(OLD, 2, Standing::Released, 1.0));
+    let old: Vec<HostLine> = (0..100).map(|h| line(h, OLD)).collect();
+    ledger.list(&mut router, ListKind::Remembered, &old);
+    thin(&mut router, &mut ledger, 8 * SECOND, |_| (DeliveryEnd::Acked, 50 * MS));
+    let started = ledger.now - 12 * SECOND;
+    let new = (60..100).map(|h| HostLine { started: Some(started), ..line(h, NEW) });
+    ledger.list(&mut router, ListKind::Changes, &new.collect::<Vec<_>>());
+    ledger.tell(&mut router, news(NEW, 1, Standing::OnTrial, 0.4));
+    (router, ledger)
+}
+
+/// Five commands a second, their deliveries ended as `host` says.
+fn thin(
+    router: &mut Router,
+    ledger: &mut Ledger,
+    span: Micros,
+    host: impl Fn(HostId) -> (DeliveryEnd, Micros),
+) {
+    let to = ledger.now + span;
+    while ledger.now < to {
+        if ledger.now / MS % 200 == 0 {
+            let id = ledger.owed.len() as u32;
+            ledger.command(router, id, (id % 3) as usize, u64::from(id) + 1, 1900 * MS);
+        }
+        ledger.pass(router, 5 * MS);
+        for (cmd, nth) in ledger.open() {
+            let sent = ledger.owed[&cmd].sent[nth];
+            let (end, after) = host(sent.host);
+            if ledger.now - sent.at >= after {
+                ledger.end(router, cmd, nth, end);
+            }
+        }
+    }
+}
+
+/// Guards against a bad build that reaches the whole fleet before any router has seen enough of it to speak: one
+/// vote moves a stage, and the hastiest of hundreds had one answer to go by.
+#[test]
+fn in_a_large_fleet_going_on_waits_until_one_router_could_have_convicted() {
+    let (mut router, mut ledger) = large_fleet(5, |_| {});
+    thin(&mut router, &mut ledger, 3300 * MS, |_| GOOD);
+    assert_eq!(votes(&ledger, Verdict::On), 0, "not after one answer and the bake time");
+    thin(&mut router, &mut ledger, 1500 * MS, |_| GOOD);
+    assert!(votes(&ledger, Verdict::On) > 0, "as many as convict of those that the next stage adds");
+}
+
+/// Guards against votes to go on from all routers at once, which fill the desk so that one against has no room.
+#[test]
+fn routers_of_a_large_fleet_take_turns_at_the_desk() {
+    let voted = |seed| {
+        let (mut router, mut ledger) = large_fleet(seed, |t| t.votes_a_second = 30.0);
+        thin(&mut router, &mut ledger, 8 * SECOND, |_| GOOD);
+        votes(&ledger, Verdict::On) > 0
+    };
+    let voted = (1..=12).filter(|seed| voted(*seed)).count();
+    assert!((1..=6).contains(&voted), "some 4 s of 20 s have passed: {voted} of 12");
+}
+
+/// Guards against proof that no router can bring: each keeps to a few of many hosts, and may hear no more.
+#[test]
+fn in_a_large_fleet_the_few_hosts_that_are_met_convict() {
+    let (mut router, mut ledger) = large_fleet(5, |_| {});
+    thin(&mut router, &mut ledger, 8 * SECOND, |h| if h.0 >= 60 && h.0 % 5 < 3 { BAD } else { GOOD });
+    assert!(votes(&ledger, Verdict::Back) > 0, "{:?}", ledger.votes);
+}
--- a/crates/spokeflow-emulator/src/terms.rs
+++ b/crates/spokeflow-emulator/src/terms.rs
@@ -62,6 +62,7 @@
         vote_wait: 2 * SECOND,
         complaint_share: day.reported,
         back_votes: 0,
+        votes_a_second: f64::INFINITY,
     };
     EngineTerms { service, answer_margin: 30 * MS, held_at_most: 20_000 }
 }
--- a/crates/spokeflow-engine/tests/common/mod.rs
+++ b/crates/spokeflow-engine/tests/common/mod.rs
@@ -137,6 +137,7 @@
         vote_wait: SECOND,
         complaint_share: 0.2,
         back_votes: 0,
+        votes_a_second: f64::INFINITY,
     };
     EngineTerms { service, answer_margin: MARGIN, held_at_most: 1000 }
 }
--- a/crates/spokeflow-platform/src/hosts.rs
+++ b/crates/spokeflow-platform/src/hosts.rs
@@ -144,7 +144,31 @@
     Lost(NoAnswer),
 }
 
+impl Outcome {
+    /// For log lines, which follow a command from router to host by its id and hold no bodies.
+    fn word(&self) -> &'static str {
+        match self {
+            Outcome::Message(FromHost::Acked { .. }) => "Acked",
+            Outcome::Message(FromHost::Full { .. }) => "Full",
+            Outcome::Message(_) => "Error",
+            Outcome::Lost(NoAnswer::Reset) => "Reset",
+            Outcome::Lost(NoAnswer::Silent) => "Silent",
+            Outcome::Lost(NoAnswer::NotConnected) => "NotConnected",
+            Outcome::Lost(_) => "NotSent",
+        }
+    }
+}
+
 impl Attempt {
+    /// The client's `Request-Id`, as `forwarded` has written it.
+    pub fn id(&self) -> &str {
+        const FIELD: &[u8] = b"\r\nRequest-Id: ";
+        let from = self.request.windows(FIELD.len()).position(|w| w == FIELD).map(|at| at + FIELD.len());
+        let rest = from.map_or(&[][..], |at| &self.request[at..]);
+        let end = rest.iter().position(|b| *b == b'\r').unwrap_or(0);
+        std::str::from_utf8(&rest[..end]).unwrap_or_default()
+    }
+
     pub async fn run(mut self) {
         let (ways, host, delivery) = (self.ways.clone(), self.host, self.delivery);
         let called = Instant::now();
@@ -155,14 +179,8 @@
             }
             Err(end) => (Outcome::Lost(end), None),
         };
-        debug!(
-            host = host.0,
-            delivery,
-            rested = self.rested,
-            took_us = called.elapsed().as_micros() as u64,
-            ?outcome,
-            "delivery ended"
-        );
+        let (took_us, address) = (called.elapsed().as_micros() as u64, self.address);
+        debug!(id = self.id(), %address, delivery, rested = self.rested, took_us, end = outcome.word(), "delivery ended");
         let broke = match outcome {
             Outcome::Message(_) => Some(false),
             Outcome::Lost(NoAnswer::Reset) => Some(true),
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -137,6 +137,7 @@
         let ways = self.ways.clone();
         let attempt =
             Attempt { ways, host, delivery, address, request, left_us, unused, rested, place, halt: halted };
+        debug!(id = attempt.id(), %address, delivery, left_us, "delivery");
         let task = tokio::spawn(attempt.run()).abort_handle();
         self.out.insert(delivery, Out { host, incarnation, halt: Some(halt), task });
         true
@@ -156,8 +157,14 @@
 
 impl Links for Wires {
     fn to_client(&mut self, conn: u64, message: ToClient) {
-        debug!(conn, ?message, "answer");
         if let Some(waiting) = self.waiting.remove(&conn) {
+            let (build, come_back_us) = match &message {
+                ToClient::Acked { build, .. } => (Some(*build), None),
+                ToClient::Nacked { come_back_us, .. } => (None, *come_back_us),
+                _ => (None, None),
+            };
+            let id = String::from_utf8_lossy(&waiting.id);
+            debug!(%id, conn, end = word(&message), build, come_back_us, "answer");
             self.open_ids.remove(&waiting.id);
             let _ = waiting.answer.send(message);
         }
@@ -170,6 +177,7 @@
                 // Dropped with its task, the connection closes: that is how an attempt is given up here.
                 if let Some(out) = self.out.remove(&delivery) {
                     out.task.abort();
+                    debug!(delivery, "delivery given up");
                 }
                 true
             }
@@ -228,6 +236,16 @@
     }
 }
 
+/// For log lines, which hold no bodies.
+fn word(message: &ToClient) -> &'static str {
+    match message {
+        ToClient::Acked { .. } => "acked",
+        ToClient::Nacked { .. } => "nacked",
+        ToClient::Failed { .. } => "failed",
+        _ => "refused",
+    }
+}
+
 /// Connections of clients and to hosts at most: two thirds and one third of what the others leave.
 fn shares(limits: &Limits) -> (usize, usize) {
     let free = limits.sockets.saturating_sub(OTHERS) as usize;
@@ -266,6 +284,8 @@
                     let _ = answer.send(ToClient::Refused(refused));
                     return;
                 }
+                let (op, left_us) = (command.op, command.left_us);
+                debug!(id = %String::from_utf8_lossy(&id), conn, op, left_us, "command");
                 self.wires.waiting.insert(conn, Waiting { id, answer });
                 self.give(Input::Command { conn, command });
             }
--- a/crates/spokeflow-router/src/terms.rs
+++ b/crates/spokeflow-router/src/terms.rs
@@ -132,6 +132,9 @@
     /// Routers whose votes send a build back; 0 where the desk does not say
     #[arg(long, env = "SPOKEFLOW_BACK_VOTES", default_value_t = 0)]
     pub back_votes: u32,
+    /// Votes that the desk takes a second from all routers together; inf where it does not say
+    #[arg(long, env = "SPOKEFLOW_VOTES_A_SECOND", default_value_t = f64::INFINITY)]
+    pub votes_a_second: f64,
     /// Asks hosts for load reports (protocol version 2); an older host refuses the connection
     #[arg(long, env = "SPOKEFLOW_HOST_REPORTS")]
     pub host_reports: bool,
@@ -355,6 +358,7 @@
         faults.when(guarded > caps, "guarded-stages", format!("{guarded} of {caps} stages"));
         let votes = self.back_votes;
         faults.when(votes > self.fleet_size, "back-votes", format!("{votes} of {} routers", self.fleet_size));
+        faults.when(self.votes_a_second.is_nan() || self.votes_a_second <= 0.0, "votes-a-second", "above 0");
         let life = self.vote_life;
         faults.when(self.vote_wait >= life, "vote-wait", format!("shorter than --vote-life {life:?}"));
     }
@@ -460,6 +464,7 @@
             vote_wait: micros(s.vote_wait),
             complaint_share: s.complaint_share,
             back_votes: s.back_votes,
+            votes_a_second: s.votes_a_second,
         };
         EngineTerms { service, answer_margin: micros(self.answer_margin), held_at_most: self.held_at_most }
     }
--- a/crates/spokeflow-settings/src/lib.rs
+++ b/crates/spokeflow-settings/src/lib.rs
@@ -130,6 +130,8 @@
     complaint_share: f64,
     #[serde(default)]
     back_votes: u32,
+    #[serde(default)]
+    vote_allowance: f64,
 }
 
 /// What the object says.
@@ -196,6 +198,8 @@
         vote_wait: micros(p.family_info.answer_wait_s),
         complaint_share: p.family_info.complaint_share,
         back_votes: p.family_info.back_votes,
+        // Above 0, or not told.
+        votes_a_second: Some(p.family_info.vote_allowance).filter(|n| *n > 0.0).unwrap_or(f64::INFINITY),
     };
     Ok(Told {
         terms,
