Large fleets judge by hosts heard, shared slowness by own part of the load; release waits

Ruled out: own slowness in the second stage (largest sums 1.9 at the bad build, 1.7 at the earlier). Change, over 60 routers only: voices count among hosts heard; shared slowness weighs by 60 over the routers; a failure weighs up to 1.5 times; the vote for the release waits three times as long. Tests: three more; each of the four guards was taken out and its test failed.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -8,7 +8,6 @@
 
 use crate::state::{Command, Delivery, Hosts, OpRules, Pin};
 use crate::*;
-
 type Out<'a> = &'a mut dyn Egress;
 const SECOND: Micros = 1_000_000;
 const MS: Micros = SECOND / 1000;
@@ -260,9 +259,9 @@
         }
         if !same_build || before.is_some_and(|b| b.stage != news.stage || b.standing != news.standing) {
             self.stage_began = self.now - news.age;
-            (self.seen_in_stage, self.vote, self.vote_again_at) = (0, None, self.now);
+            (self.seen_in_stage, self.counted_in_stage) = (0, 0.0);
+            (self.vote, self.vote_again_at) = (None, self.now);
             self.own_turn = (self.chance.share() * self.vote_span) as Micros;
-            self.counted_in_stage = 0.0;
         }
         if self.sent_back(news.build) {
             // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
@@ -561,16 +560,11 @@
         f64::from(self.hosts.in_flight[h] + 1) * crawl / (1.05 - busy)
     }
 
-    /// How many of so many hosts a router with little traffic keeps to.
-    fn own_of(&self, hosts: usize) -> usize {
-        let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
-        ((hosts as f64 * met.max(sent)).ceil() as usize).max(2)
-    }
-
     /// Guards against a new connection for nearly every command: a router with little traffic keeps to a few
     /// hosts, its own by hash. Answers how much more of the traffic those get for that.
     fn keep_own(&self, hosts: &mut Vec<usize>) -> f64 {
-        let own = self.own_of(hosts.len());
+        let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
+        let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
         if own >= hosts.len() {
             return 1.0;
         }
@@ -872,7 +866,8 @@
             let usual = self.old_fails[op].max(self.ops[op].counted_lost * self.blamed());
             // Where much fails anyway, a failure more says less.
             let gain = (failed - usual) * NOISE / (NOISE + usual) - FAIL_MARGIN;
-            self.add(h, op, gain * self.proof(share));
+            // Of thin traffic each failure says more: chance brings few of them together.
+            self.add(h, op, gain * self.proof(share) * (self.fleet / MET_BY).clamp(1.0, 1.5));
             if known {
                 let excused = self.old_lag.max(self.by_load());
                 let gain = LATE_WEIGHT * (late - excused - LATE_MARGIN);
@@ -900,13 +895,15 @@
         FAIL_MARGIN / (FAIL_MARGIN + beyond.max(0.0))
     }
 
-    /// Two in five of a build's hosts that are met convict it, two at least of three, for slowness always:
-    /// each may bring only its part. It could harm where a build fails rarely on many hosts.
+    /// Two in five of a build's hosts (in a large fleet of those heard) convict it, two at least of three,
+    /// for slowness always: each brings its part. It could harm where a build fails rarely on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
-        let peers = peers.min(self.own_of(peers));
+        let heard =
+            |h: &usize| self.fleet <= MET_BY || self.hosts.answers[*h] > 0 || self.hosts.blame[*h] > 0.0;
+        let heard = self.ready_with(self.hosts.build[h]).filter(heard).count();
         let voices = [0.5, 0.5, 1.5].get(peers).copied();
-        let voices = voices.unwrap_or((0.4 * peers as f64).clamp(2.0, MOST_VOICES));
+        let voices = voices.unwrap_or((0.4 * heard as f64).clamp(2.0, MOST_VOICES));
         let most = SEND_BACK_AT / if which == self.ops.len() { voices.max(1.5) } else { voices };
         let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
         self.hosts.blame[h] = (self.hosts.blame[h] + gain).max(0.0);
@@ -948,9 +945,10 @@
     fn judge_shared(&mut self, late: f64) {
         let judged = self.seen > 0 && self.usual_load[1] > 0.0;
         if judged && self.news.is_some_and(|n| n.standing == Standing::OnTrial) {
+            // One of many routers sees by its own traffic only a part of what loads the hosts.
             let gain = LATE_WEIGHT * (late.min(1.5) - self.by_load() - LATE_MARGIN);
             let sum = self.sums.last_mut().expect("made at start");
-            *sum = (*sum + gain.min(self.few * gain)).max(0.0);
+            *sum = (*sum + gain.min(self.few.min(MET_BY / self.fleet) * gain)).max(0.0);
         }
     }
 
@@ -1042,9 +1040,11 @@
         let enough = (ENOUGH_ANSWERS * ENOUGH_ANSWERS / alike).clamp(1, ENOUGH_ANSWERS);
         let known = self.seen_in_stage >= enough || self.counted_in_stage >= f64::from(3 * enough);
         let met = self.even * share * waited as f64 / SECOND as f64;
-        let pauses = if known && met >= CONVICTS * more { 1 } else { 3 };
-        // Side by side a stage is cheaply taken back and a release is not: its vote waits for all traffic.
+        // A release takes twice the proof to undo and may wait: all hosts run the build by then.
         let last = usize::from(news.stage) + 1 >= self.stage_shares.len();
+        let waits = last && self.gate == Gate::Single && self.fleet > MET_BY || met < CONVICTS * more;
+        let pauses = if known && !waits { 1 } else { 3 };
+        // Side by side a stage is cheaply taken back and a release is not: its vote waits for all traffic.
         let due = match (self.rolling, last) {
             (true, _) => waited >= pauses * self.go_wait + self.own_turn,
             (false, true) => complete && waited >= 4 * self.go_wait,
--- a/crates/spokeflow-core/tests/plain.rs
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -686,3 +686,52 @@
     thin(&mut router, &mut ledger, 8 * SECOND, |h| if h.0 >= 60 && h.0 % 5 < 3 { BAD } else { GOOD });
     assert!(votes(&ledger, Verdict::Back) > 0, "{:?}", ledger.votes);
 }
+
+/// Guards against a bad build that reaches all hosts since no thin router meets five that fail: chance brings three
+/// together seldom, and one host alone does not convict.
+#[test]
+fn of_thin_traffic_three_failures_at_three_hosts_convict() {
+    let back = |fails: fn(HostId) -> bool| {
+        let (mut router, mut ledger) = large_fleet(5, |_| {});
+        let mut failed = std::collections::BTreeSet::new();
+        while failed.len() < 3 && ledger.now < 125 * SECOND {
+            thin(&mut router, &mut ledger, 200 * MS, |h| if fails(h) { BAD } else { GOOD });
+            let new =
+                ledger.owed.values().flat_map(|o| &o.sent).filter(|s| s.at > 108 * SECOND && fails(s.host));
+            failed.extend(new.map(|s| s.host));
+        }
+        thin(&mut router, &mut ledger, 300 * MS, |_| GOOD);
+        votes(&ledger, Verdict::Back) > 0
+    };
+    assert!(back(|h| h.0 >= 60));
+    assert!(!back(|h| h.0 == 77));
+}
+
+/// Guards against a good build sent back for a burst: one of many routers sees by its own traffic only a part of
+/// what loads the hosts, and so cannot tell a build that slows them all from others' commands.
+#[test]
+fn slowness_of_all_hosts_convicts_no_build_where_own_traffic_tells_little_of_the_load() {
+    let (mut router, mut ledger) = large_fleet(5, |_| {});
+    thin(&mut router, &mut ledger, 8 * SECOND, |_| (DeliveryEnd::Acked, 150 * MS));
+    assert_eq!(votes(&ledger, Verdict::Back), 0);
+}
+
+/// Guards against a release, which takes twice the proof to undo, before hosts that fail some time after their start
+/// have done so.
+#[test]
+fn in_a_large_fleet_the_vote_for_the_release_waits_three_times_as_long() {
+    let voted = |fleet_size| {
+        let (mut router, mut ledger) =
+            large_fleet(5, |t| (t.fleet_size, t.stage_shares[2]) = (fleet_size, 0.9));
+        let new = (1..100).map(|h| HostLine { started: Some(ledger.now), ..line(h, NEW) });
+        ledger.list(&mut router, ListKind::Changes, &new.collect::<Vec<_>>());
+        ledger.tell(&mut router, news(NEW, 2, Standing::OnTrial, 1.0));
+        let from = ledger.now;
+        while votes(&ledger, Verdict::On) == 0 && ledger.now < from + 20 * SECOND {
+            thin(&mut router, &mut ledger, 100 * MS, |_| GOOD);
+        }
+        ledger.now - from
+    };
+    let (small, large) = (voted(50), voted(300));
+    assert!(small < 3 * SECOND && (6 * SECOND..8 * SECOND).contains(&large), "{small} {large}");
+}
