--- a/crates/spokeflow-platform/src/configuration.rs
+++ b/crates/spokeflow-platform/src/configuration.rs
@@ -8,6 +8,10 @@
 use spokeflow_settings::Told;
 
 use crate::roster::Listing;
+use crate::serve::OTHERS;
+
+/// Descriptors without which nothing can be served: two clients' and one host's beside all others.
+const FEWEST: u64 = OTHERS + 3;
 
 #[derive(Clone, Debug, Deserialize)]
 struct File {
@@ -114,8 +118,11 @@
         if twice(&told.ops) || twice(&told.customers) || twice(&told.zones) {
             return Err(fault("settings name an op type, a customer or a zone twice".into()));
         }
-        if file.limits.sockets < 64 {
-            return Err(fault(format!("limits.sockets {}: 64 at least are needed", file.limits.sockets)));
+        if file.limits.sockets < FEWEST {
+            return Err(fault(format!(
+                "limits.sockets {}: {FEWEST} at least are needed",
+                file.limits.sockets
+            )));
         }
         let news = match &file.deployer.news {
             None => None,
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -40,7 +40,7 @@
 /// After the last answer it gets this long to leave.
 const LAST_WRITES: Duration = Duration::from_millis(300);
 /// Descriptors for all but clients and hosts: standard streams, signals, the listener, discovery, the deployer.
-const OTHERS: u64 = 24;
+pub const OTHERS: u64 = 24;
 
 /// What reaches the task that owns the engine.
 pub enum Arrival {
--- a/crates/spokeflow-router/tests/platform.rs
+++ b/crates/spokeflow-router/tests/platform.rs
@@ -328,3 +328,42 @@
     }
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+/// Guards against a router that does not start where it could serve, if little.
+#[test]
+fn with_hardly_any_descriptors_it_still_serves() {
+    run(async {
+        let host = Host::start(|_| Deed::Say(ok("good"))).await;
+        let (desk, _) = deployer(vec![]).await;
+        let scene = Scene::start(list(1, &[("s-a", &host.address, "Ready", 1)]), &desk, 27).await;
+        for n in 0..6 {
+            assert_eq!(scene.status(&read(&format!("r{n}"))).await, Some(200), "{n}");
+        }
+    });
+}
+
+/// Guards against bounds on the list's length on the way from discovery to the module: 1,500 hosts, then half of them
+/// gone and as many new ones, which are told in one line each.
+#[test]
+fn a_list_of_many_hosts_is_read_whole_and_followed() {
+    run(async {
+        let host = Host::start(|_| Deed::Say(ok("good"))).await;
+        let (desk, _) = deployer(vec![]).await;
+        let named = |from: usize| (from..from + 1500).map(|n| format!("s-{n:08x}")).collect::<Vec<_>>();
+        let (first, second) = (named(0), named(750));
+        let lines = |names: &[String], phase| {
+            let members: Vec<_> =
+                names.iter().map(|name| (name.as_str(), host.address.as_str(), phase, 1)).collect();
+            list(1, &members)
+        };
+        let scene = Scene::start(lines(&first, "Ready"), &desk, 256).await;
+        let mut client = scene.connect().await;
+        for n in 0..20 {
+            assert_eq!(status(&exchange(&mut client, &read(&format!("a{n}"))).await.unwrap()), Some(200));
+        }
+        scene.lines.send(lines(&second, "Ready")).unwrap();
+        for n in 0..20 {
+            assert_eq!(status(&exchange(&mut client, &read(&format!("b{n}"))).await.unwrap()), Some(200));
+        }
+    });
+}
