--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -75,6 +75,8 @@
     /// By customer, the commands that wait for a place.
     held: Vec<VecDeque<CommandId>>,
     pins: BTreeMap<Key, Pin>,
+    /// The released build that has answered keys whose pins are no longer kept.
+    all_bound: Option<BuildId>,
     taken: VecDeque<(Micros, usize)>,
     exposed: VecDeque<(Micros, usize, BuildId)>,
     news: Option<StageNews>,
@@ -263,11 +265,13 @@
             (self.vote, self.vote_again_at) = (None, self.now);
             self.own_turn = (self.chance.share() * self.vote_span) as Micros;
         }
-        if self.sent_back(news.build) {
-            // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
+        let back = self.sent_back(news.build);
+        if !same_build || back {
+            // Only the newest build binds its keys, until it goes back: then the way to earlier ones is open.
+            let from = BuildId(news.build.0.saturating_add(u16::from(back)));
             self.pins.retain(|_, pin| {
-                (pin.answered_by, pin.claimed_by) = (pin.answered_by.filter(|b| *b != news.build), None);
-                pin.build != news.build || pin.answered_by.is_some()
+                pin.answered_by = pin.answered_by.filter(|b| *b >= from);
+                !back || pin.build != news.build || pin.answered_by.is_some()
             });
         }
         self.beat(out);
@@ -276,12 +280,10 @@
     pub fn vote_answered(&mut self, answer: VoteAnswer) {
         self.vote_out = false;
         if answer == VoteAnswer::Counted {
-            self.vote_again_at = self.now;
-            self.vote_stands_until = self.now + self.vote_life * 7 / 10;
+            (self.vote_again_at, self.vote_stands_until) = (self.now, self.now + self.vote_life * 7 / 10);
         } else {
             let pause = if answer == VoteAnswer::Moot { SECOND } else { 200 * MS };
-            self.vote_again_at = self.now + pause + self.chance.below(200_000) as Micros;
-            self.vote = None;
+            (self.vote_again_at, self.vote) = (self.now + pause + self.chance.below(200_000) as Micros, None);
         }
     }
 
@@ -301,6 +303,11 @@
         self.news.is_some_and(|n| n.build == build && back(n.standing))
     }
 
+    /// Whether one-way rules hold keys at this build: the newest that was told, or one after it.
+    fn binds(&self, build: BuildId) -> bool {
+        self.one_way && self.news.is_none_or(|n| build >= n.build) && !self.sent_back(build)
+    }
+
     // ---- Intake ----
 
     pub fn command(&mut self, cmd: CommandId, op: OpType, share: ShareId, key: Key, left: Micros, out: Out) {
@@ -339,8 +346,9 @@
     fn route(&mut self, cmd: CommandId, out: Out) -> bool {
         let Some(c) = self.cmds.get(&cmd).filter(|c| !c.ended) else { return false };
         let (key, op) = (c.key, c.op);
-        let floor = self.pins.get(&key).and_then(|p| p.answered_by.max(p.claimed_by));
-        let floor = floor.filter(|_| self.one_way && key.0 != 0);
+        let pin = self.pins.get(&key).filter(|_| self.one_way && key.0 != 0);
+        let (known, last) = (pin.is_some(), pin.and_then(|p| p.answered_by.max(p.claimed_by)));
+        let floor = last.max(self.all_bound.filter(|_| key.0 != 0)).filter(|b| self.binds(*b));
         let mut full = false;
         for build in self.choose_builds(c, floor).into_iter().flatten() {
             if !self.room(build, op) {
@@ -348,10 +356,9 @@
             } else if let Some(host) = self.place(cmd, build) {
                 if key.0 != 0 {
                     // One delivery that goes back takes no key off the trial.
-                    let stays =
-                        self.pins.get(&key).is_some_and(|p| build < p.build && self.on_trial(p.build));
+                    let back = self.pins.get(&key).is_some_and(|p| build < p.build && self.on_trial(p.build));
                     let pin = self.pins.entry(key).or_default();
-                    (pin.build, pin.used) = (if stays { pin.build } else { build }, self.now);
+                    (pin.build, pin.used) = (if back { pin.build } else { build }, self.now);
                 }
                 self.dispatch(cmd, host, out);
                 return true;
@@ -359,8 +366,8 @@
         }
         let waits = |c: &&Command| c.deliveries.iter().all(|d| !d.open);
         let Some(c) = self.cmds.get(&cmd).filter(waits) else { return false };
-        // A full counter under one-way rules is refused at once: the client comes back when there is room.
-        if full && floor.is_some() || self.now >= self.waits_until(c) {
+        // A known key at a full counter under one-way rules is refused at once: it comes when there is room.
+        if full && known || self.now >= self.waits_until(c) {
             self.flow[2] += 1.0;
             self.give_up(cmd, out);
         } else {
@@ -465,8 +472,6 @@
         self.lane = self.lane.max(aim.min(self.lane + spent * aim.max(0.02))).min(cap);
     }
 
-    // ---- Exposure ----
-
     fn room(&mut self, build: BuildId, op: usize) -> bool {
         if !self.on_trial(build) {
             return true;
@@ -616,8 +621,6 @@
         self.hosts.line[h].started.map_or(Micros::MAX / 2, |at| (self.now - at).max(0))
     }
 
-    // ---- Dispatch ----
-
     fn dispatch(&mut self, cmd: CommandId, host: usize, out: Out) {
         let (build, sent) = (self.hosts.build[host], self.now);
         let (on_trial, slot) = (self.on_trial(build), self.age(host) / self.fall_span);
@@ -655,8 +658,6 @@
         }
     }
 
-    // ---- What comes back ----
-
     pub fn answer_started(&mut self, cmd: CommandId, nth: u8) {
         let delivery = |c: &mut Command| c.deliveries.get_mut(usize::from(nth)).map(|d| d.started = true);
         self.cmds.get_mut(&cmd).and_then(delivery);
@@ -688,7 +689,7 @@
         self.ops[op].acks += acked;
         self.flow[1] += acked;
         let newest = build.max(self.hosts.build[h]);
-        if key.0 != 0 && !self.sent_back(newest) {
+        if key.0 != 0 && self.binds(newest) {
             let pin = self.pins.entry(key).or_default();
             // An answer may have been written that nobody could read: it binds the key as well.
             match end.may_have_run() && end != DeliveryEnd::Error {
@@ -746,11 +747,9 @@
     /// Ends a command that is answered, or that its client has left.
     pub fn end(&mut self, cmd: CommandId, out: Out) {
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
-        if !c.ended && self.may_cancel {
-            for (n, _) in c.deliveries.iter().enumerate().filter(|(_, d)| d.open && !d.started) {
-                out.cancel(cmd, n as u8);
-            }
-        }
+        let open = |d: &Delivery| self.may_cancel && !c.ended && d.open && !d.started;
+        let open = c.deliveries.iter().enumerate().filter(|(_, d)| open(d));
+        open.for_each(|(n, _)| out.cancel(cmd, n as u8));
         c.ended = true;
         if c.deliveries.iter().all(|d| !d.open) {
             self.cmds.remove(&cmd);
@@ -1029,9 +1028,8 @@
         let (count, latest) = (started().count(), started().max().unwrap_or(0));
         let share = self.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
         let earlier = |h: &usize| self.rolling || self.hosts.build[*h] < news.build;
-        let complete =
-            count > 0 && count as f64 >= (share * self.ready().filter(earlier).count() as f64).floor();
-        let unlisted = Micros::from(!complete && latest <= self.stage_began);
+        let all = count > 0 && count as f64 >= (share * self.ready().filter(earlier).count() as f64).floor();
+        let unlisted = Micros::from(!all && latest <= self.stage_began);
         let waited = self.now - latest.max(self.stage_began) - unlisted * 8 * SECOND;
         // Where one vote is enough, the fleet has seen many times what a quiet router has; but the one that
         // speaks against a build has to see enough of it alone, the more so the more hosts follow.
@@ -1045,11 +1043,8 @@
         let waits = last && self.gate == Gate::Single && self.fleet > MET_BY || met < CONVICTS * more;
         let pauses = if known && !waits { 1 } else { 3 };
         // Side by side a stage is cheaply taken back and a release is not: its vote waits for all traffic.
-        let due = match (self.rolling, last) {
-            (true, _) => waited >= pauses * self.go_wait + self.own_turn,
-            (false, true) => complete && waited >= 4 * self.go_wait,
-            (false, false) => true,
-        };
+        let beside = !self.rolling && (!last || all && waited >= 4 * self.go_wait);
+        let due = beside || self.rolling && waited >= pauses * self.go_wait + self.own_turn;
         let go = self.sum() < QUIET_BELOW && due;
         go.then_some((news.build, news.stage, Verdict::On))
     }
@@ -1059,8 +1054,7 @@
             // The desk never answered: the vote may count or not, so it is cast anew.
             (self.vote_out, self.vote) = (false, None);
         }
-        let want = self.verdict();
-        let stands = self.now < self.vote_stands_until;
+        let (want, stands) = (self.verdict(), self.now < self.vote_stands_until);
         if self.vote_out || self.now < self.vote_again_at || (want == self.vote && stands) {
             return;
         }
@@ -1114,7 +1108,13 @@
         }
         if self.now - self.swept >= SECOND / 2 {
             self.swept = self.now;
-            self.pins.retain(|_, p| self.now - p.used < PIN_IDLE || self.one_way && p.answered_by.is_some());
+            // Once a build is released, all keys are taken for answered by it: none is kept for that.
+            let released = self.news.filter(|n| n.standing == Standing::Released).map(|n| n.build);
+            self.pins.retain(|_, p| {
+                let stays = self.now - p.used < PIN_IDLE || p.answered_by > released;
+                self.all_bound = self.all_bound.max(p.answered_by.filter(|_| !stays));
+                stays
+            });
         }
     }
 }
--- /dev/null
+++ b/crates/spokeflow-core/tests/level.rs
@@ -0,0 +1,71 @@
+//! Memory of a router that goes on meeting new keys stays level once a build is released.
+
+mod common;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicIsize, Ordering::Relaxed};
+
+use common::*;
+use spokeflow_core::*;
+
+/// Bytes in use, counted on the way to the system's allocator.
+struct Counting;
+static IN_USE: AtomicIsize = AtomicIsize::new(0);
+
+// SAFETY: all is passed on to the system's allocator as it came.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        IN_USE.fetch_add(layout.size() as isize, Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        IN_USE.fetch_sub(layout.size() as isize, Relaxed);
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static ALL: Counting = Counting;
+
+/// Answers at once and keeps only what is asked for.
+#[derive(Default)]
+struct Hosts(Vec<CommandId>);
+
+impl Egress for Hosts {
+    fn deliver(&mut self, cmd: CommandId, _: HostId, _: Option<Micros>) {
+        self.0.push(cmd);
+    }
+    fn nack(&mut self, _: CommandId, _: Option<Micros>) {}
+    fn fail(&mut self, _: CommandId) {}
+    fn cancel(&mut self, _: CommandId, _: u8) {}
+    fn wake(&mut self, _: Micros) {}
+    fn vote(&mut self, _: BuildId, _: u8, _: Verdict) {}
+    fn probe(&mut self, _: HostId) {}
+    fn watch_list(&mut self) {}
+    fn fetch_list(&mut self) {}
+    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
+}
+
+#[test]
+fn pins_of_a_released_build_do_not_grow_with_the_keys_ever_met() {
+    let mut out = Hosts::default();
+    let mut router = Router::new(&terms(Gate::Single), 3, 0, &mut out);
+    let hosts: Vec<HostLine> = (0..8).map(|h| line(h, NEW)).collect();
+    router.at(0).listed(ListKind::Whole, &hosts, &mut out);
+    router.at(0).told(news(NEW, 2, Standing::Released, 1.0), &mut out);
+    let mut after = |keys: std::ops::Range<u32>| {
+        for n in keys {
+            let now = Micros::from(n) * 10 * MS;
+            let (cmd, key) = (CommandId(n), Key(u64::from(n) + 1));
+            router.at(now).command(cmd, OpType(0), ShareId(0), key, SECOND, &mut out);
+            for cmd in std::mem::take(&mut out.0) {
+                router.at(now).ended(cmd, 0, DeliveryEnd::Acked, 50 * MS, true, &mut out);
+            }
+            router.at(now).woken(&mut out);
+        }
+        IN_USE.load(Relaxed)
+    };
+    let (early, late) = (after(0..3_000), after(3_000..30_000));
+    assert!(late < early + early / 4, "{early} bytes after 3,000 keys, {late} after 30,000");
+}
--- a/crates/spokeflow-core/tests/plain.rs
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -749,3 +749,51 @@
     let (small, large) = (voted(50), voted(300));
     assert!(small < 3 * SECOND && (6 * SECOND..8 * SECOND).contains(&large), "{small} {large}");
 }
+
+/// Rule 5 binds a key to the newest build that was told, on trial or released. One that has not been released
+/// when the next is due goes back: its keys were refused for good where their floor outlived it.
+#[test]
+fn a_key_is_free_of_a_build_that_the_next_one_has_ended() {
+    const NEXT: BuildId = BuildId(9);
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    ledger.tell(&mut router, news(NEW, 2, Standing::OnTrial, 1.0));
+    let new: Vec<HostLine> = (0..8).map(|h| line(h, NEW)).collect();
+    ledger.list(&mut router, ListKind::Whole, &new);
+    let ask = |router: &mut Router, ledger: &mut Ledger, id: u32| {
+        ledger.command(router, id, 0, 5, 900 * MS);
+        let sent = ledger.owed[&CommandId(id)].sent.first().and_then(|s| ledger.lines[&s.host].build);
+        if sent.is_some() {
+            ledger.end(router, CommandId(id), 0, DeliveryEnd::Acked);
+        }
+        ledger.pass(router, 50 * MS);
+        sent
+    };
+    assert_eq!(ask(&mut router, &mut ledger, 1), Some(NEW));
+    ledger.tell(&mut router, news(NEXT, 0, Standing::OnTrial, 0.1));
+    let old: Vec<HostLine> = (0..8).map(|h| line(h, OLD)).collect();
+    ledger.list(&mut router, ListKind::Whole, &old);
+    assert_eq!(ask(&mut router, &mut ledger, 2), Some(OLD));
+    ledger.tell(&mut router, news(NEXT, 0, Standing::Withdrawn, 0.0));
+    assert_eq!(ask(&mut router, &mut ledger, 3), Some(OLD));
+}
+
+/// Pins of a released build are not kept for ever; what they guarded against holds for all keys in their place.
+#[test]
+fn a_key_long_unused_goes_to_no_earlier_build_than_the_released_one() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    ledger.tell(&mut router, news(NEW, 2, Standing::Released, 1.0));
+    let new: Vec<HostLine> = (0..8).map(|h| line(h, NEW)).collect();
+    ledger.list(&mut router, ListKind::Whole, &new);
+    ledger.command(&mut router, 1, 0, 5, 900 * MS);
+    ledger.end(&mut router, CommandId(1), 0, DeliveryEnd::Acked);
+    ledger.pass(&mut router, 12 * SECOND);
+    let old: Vec<HostLine> = (0..8).map(|h| line(h, OLD)).collect();
+    ledger.list(&mut router, ListKind::Whole, &old);
+    // The ledger breaks at a delivery below the build that answered the key.
+    ledger.command(&mut router, 2, 0, 5, 900 * MS);
+    ledger.pass(&mut router, SECOND);
+    assert!(ledger.owed[&CommandId(2)].sent.is_empty() && !ledger.nacks.is_empty());
+    ledger.tell(&mut router, news(NEW, 2, Standing::GoingBack, 0.0));
+    ledger.command(&mut router, 3, 0, 5, 900 * MS);
+    assert_eq!(ledger.owed[&CommandId(3)].sent.len(), 1);
+}
