Lists of discovery may come indented; a silent watch is opened anew without a pause

Objects are now read however they are laid out and cut; half an object with another behind it is still found out at once, an object is 4 MiB at most. The scene test fails on the old text. Also: a watch that fell silent while the list had not changed counted as a failure more, so that up to 1 s of pause came on top of the 5 s of silence, where what it misses counts as told after 6 s; now the pause is the first one, 25 to 50 ms.

--- a/crates/spokeflow-platform/src/discovery.rs
+++ b/crates/spokeflow-platform/src/discovery.rs
@@ -22,8 +22,8 @@
 const SILENCE: Duration = Duration::from_secs(5);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// One line of the watch at most.
-const LINE_LIMIT: usize = 4 << 20;
+/// One object of the watch at most.
+const OBJECT_LIMIT: usize = 4 << 20;
 
 pub struct Watching {
     pub address: watch::Receiver<SocketAddr>,
@@ -45,14 +45,16 @@
         let mut failures = 0;
         loop {
             let address = *self.address.borrow_and_update();
-            let before = self.after;
+            let (before, mut fell_silent) = (self.after, false);
             let mut moved = self.address.clone();
             let fault = tokio::select! {
-                fault = self.watch(address) => fault,
+                fault = self.watch(address, &mut fell_silent) => fault,
                 // The old address goes on for a while; the new one tells what has changed since.
                 Ok(()) = moved.changed() => { failures = 0; continue }
             };
-            failures = if self.after != before { 0 } else { failures + 1 };
+            // One that had stood is opened anew at once, also where the list had not changed: what it misses counts as
+            // told a second after the silence that breaks it.
+            failures = if fell_silent || self.after != before { 0 } else { failures + 1 };
             if let Some(kept_back) = self.clock.line() {
                 info!(%address, failures, kept_back, fault, "discovery lost");
             }
@@ -63,8 +65,8 @@
         }
     }
 
-    /// Reads one watch until it fails.
-    async fn watch(&mut self, address: SocketAddr) -> String {
+    /// Reads one watch until it fails; tells whether it had begun and then fell silent.
+    async fn watch(&mut self, address: SocketAddr, fell_silent: &mut bool) -> String {
         let opening = timeout(self.connect_timeout, TcpStream::connect(address)).await;
         let mut stream = match opening {
             Err(_) => return "not connected in time".into(),
@@ -77,38 +79,36 @@
             return e.to_string();
         }
         let mut codec = AnswerCodec::new(u64::MAX);
-        let (mut buf, mut text) = (BytesMut::with_capacity(4 << 10), BytesMut::new());
+        let mut begun = false;
+        let (mut buf, mut objects) = (BytesMut::with_capacity(4 << 10), Objects::default());
         loop {
             loop {
                 match codec.decode(&mut buf) {
                     Ok(None) => break,
-                    Ok(Some(Part::Head { status: 200, .. })) => {}
+                    Ok(Some(Part::Head { status: 200, .. })) => begun = true,
                     Ok(Some(Part::Head { status, .. })) => return format!("answered {status}"),
-                    Ok(Some(Part::Data(data))) => text.extend_from_slice(&data),
+                    Ok(Some(Part::Data(data))) => objects.push(&data),
                     Ok(Some(Part::End)) => return "the watch has ended".into(),
                     Err(fault) => return fault.to_string(),
                 }
             }
-            while let Some(at) = text.iter().position(|b| *b == b'\n') {
-                let line = text.split_to(at + 1);
-                if line.trim_ascii().is_empty() {
-                    continue;
-                }
-                let listing: Listing = match serde_json::from_slice(&line) {
-                    Ok(listing) => listing,
-                    Err(e) => return format!("a line that cannot be read: {e}"),
+            loop {
+                let listing = match objects.next() {
+                    Ok(Some(listing)) => listing,
+                    Ok(None) => break,
+                    Err(fault) => return fault,
                 };
                 self.after = listing.revision;
                 if self.core.send(Arrival::Listed(listing)).await.is_err() {
                     return "the router ends".into();
                 }
             }
-            if text.len() > LINE_LIMIT {
-                return "a line that does not end".into();
-            }
             buf.reserve(4 << 10);
             match timeout(SILENCE, stream.read_buf(&mut buf)).await {
-                Err(_) => return "silent".into(),
+                Err(_) => {
+                    *fell_silent = begun;
+                    return "silent".into();
+                }
                 Ok(Ok(0)) => return "closed".into(),
                 Ok(Err(e)) => return e.to_string(),
                 Ok(Ok(_)) => {}
@@ -116,3 +116,123 @@
         }
     }
 }
+
+/// The objects of a watch, one behind another: each on a line of its own, or laid out over several.
+#[derive(Default)]
+struct Objects {
+    text: BytesMut,
+    /// Bytes looked at, and what they leave open: brackets, a string, an escape in it.
+    seen: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+    /// Text that is not whole is read as far as it goes when it has doubled, so that nonsense is found early and
+    /// a long list costs no more than a few readings.
+    read_at: usize,
+}
+
+impl Objects {
+    fn push(&mut self, data: &[u8]) {
+        self.text.extend_from_slice(data);
+    }
+
+    /// Looks at what has come until an object may be whole; says whether one may.
+    fn closes(&mut self) -> bool {
+        while let Some(byte) = self.text.get(self.seen) {
+            self.seen += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' => self.escaped = self.quoted,
+                b'"' => self.quoted = !self.quoted,
+                _ if self.quoted => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => {
+                    self.depth = self.depth.saturating_sub(1);
+                    if self.depth == 0 {
+                        return true;
+                    }
+                }
+                _ => {}
+            }
+        }
+        false
+    }
+
+    /// The next whole object. Errors: what has come is none, or is longer than any may be.
+    fn next(&mut self) -> Result<Option<Listing>, String> {
+        if !self.closes() && self.text.len() < self.read_at {
+            return Ok(None);
+        }
+        let mut read = serde_json::Deserializer::from_slice(&self.text).into_iter::<Listing>();
+        let (found, upto) = (read.next(), read.byte_offset());
+        match found {
+            Some(Ok(listing)) => {
+                let rest = self.text.split_off(upto);
+                *self = Objects { text: rest, ..Objects::default() };
+                Ok(Some(listing))
+            }
+            None => {
+                // White space: nothing changes.
+                *self = Objects::default();
+                Ok(None)
+            }
+            Some(Err(e)) if !e.is_eof() => Err(format!("an object that cannot be read: {e}")),
+            Some(Err(_)) if self.text.len() > OBJECT_LIMIT => Err("an object that does not end".into()),
+            Some(Err(_)) => {
+                self.read_at = 2 * self.text.len();
+                Ok(None)
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PLAIN: &str = r#"{"revision":41,"complete":true,"members":[{"id":"s-{\"a]","phase":"Ready"}]}"#;
+
+    fn indented() -> String {
+        let value: serde_json::Value = serde_json::from_str(PLAIN).unwrap();
+        serde_json::to_string_pretty(&value).unwrap()
+    }
+
+    fn revisions(objects: &mut Objects) -> Vec<u64> {
+        std::iter::from_fn(|| objects.next().unwrap()).map(|listing| listing.revision).collect()
+    }
+
+    /// Lists may come indented: read line by line, each broke the watch, and no change was ever heard.
+    #[test]
+    fn objects_are_read_however_they_are_laid_out_and_cut() {
+        let text = format!("\n{PLAIN}\n\n{}\n\r\n{PLAIN}{}\n", indented(), indented());
+        for cut in 1..text.len() {
+            let mut objects = Objects::default();
+            let mut all = Vec::new();
+            for part in text.as_bytes().chunks(cut) {
+                objects.push(part);
+                all.extend(revisions(&mut objects));
+            }
+            assert_eq!(all, [41, 41, 41, 41], "in parts of {cut}");
+        }
+    }
+
+    #[test]
+    fn half_an_object_with_another_behind_it_is_found_out() {
+        let mut objects = Objects::default();
+        objects.push(b"{\"revision\":2,\"complete\":tr");
+        assert!(objects.next().unwrap().is_none());
+        objects.push(format!("\n{PLAIN}\n").as_bytes());
+        assert!(objects.next().is_err());
+    }
+
+    #[test]
+    fn an_object_without_an_end_is_given_up() {
+        let mut objects = Objects::default();
+        objects.push(b"{\"members\":[");
+        let fault = (0..OBJECT_LIMIT).step_by(1 << 20).find_map(|_| {
+            objects.push(&vec![b' '; 2 << 20]);
+            objects.next().err()
+        });
+        assert!(fault.is_some());
+    }
+}
--- a/crates/spokeflow-router/tests/platform.rs
+++ b/crates/spokeflow-router/tests/platform.rs
@@ -204,6 +204,13 @@
             assert_eq!(body(&answer), "second");
         }
         assert_eq!(first.count(), 1);
+        // Lists may come indented: read line by line, each broke the watch and nothing was heard any more.
+        let back =
+            list(4, &[("s-a", &*second.address, "Terminating", 1), ("s-b", &*first.address, "Ready", 1)]);
+        scene.lines.send(back.replace(',', ",\n  ").replace('{', "{\n  ")).unwrap();
+        sleep(Duration::from_millis(400)).await;
+        let answer = exchange(&mut scene.connect().await, &read("c")).await.unwrap();
+        assert_eq!(body(&answer), "first");
     });
 }
 
