Pauses come from the handed seed; descriptors follow fleet, hosts and load

Hosts get a place for each host that this router meets and for each command in flight at the told load, a third of the free descriptors at least as before and half at most: 425 of 1,000 at 3 routers and 420 hosts, 333 as before at 300 routers and 150 hosts (unit tests).

--- a/crates/spokeflow-core/src/lib.rs
+++ b/crates/spokeflow-core/src/lib.rs
@@ -12,7 +12,7 @@
 pub use chance::{unit, Chance};
 pub use egress::{Egress, Verdict};
 pub use ids::{BuildId, CommandId, HostId, Key, Micros, OpType, ShareId, ZoneId};
-pub use router::Router;
+pub use router::{Router, MET_BY};
 pub use terms::{
     DeliveryEnd, DeskCount, Gate, HostLine, HostPhase, ListKind, OpTerms, Repeat, RepeatScope, ServiceTerms,
     StageNews, Standing, VoteAnswer,
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -42,7 +42,7 @@
 /// Hosts that must speak against a build at most: a router meets few of many.
 const MOST_VOICES: f64 = 8.0;
 /// Routers that each host is met by at least: uneven traffic evens out.
-const MET_BY: f64 = 60.0;
+pub const MET_BY: f64 = 60.0;
 /// Answers that convict at the least, of which a router of mean traffic gets so many before all follow.
 const CONVICTS: f64 = SEND_BACK_AT / (LATE_WEIGHT * (2.0 - LATE_MARGIN));
 /// Part of what the told multiple allows a cold host that is sent to it.
--- a/crates/spokeflow-platform/src/deployer.rs
+++ b/crates/spokeflow-platform/src/deployer.rs
@@ -16,9 +16,8 @@
 use tracing::{debug, info};
 
 use crate::configuration::Stage;
-use crate::discovery::pause;
 use crate::serve::Arrival;
-use crate::Clock;
+use crate::{Clock, Pauses};
 
 /// A line of so many bytes ends the connection, as the platform says.
 const LINE_LIMIT: usize = 8 << 10;
@@ -64,6 +63,7 @@
     pub clock: Arc<Clock>,
     pub core: mpsc::Sender<Arrival>,
     pub connect_timeout: Duration,
+    pub pauses: Pauses,
 }
 
 impl Subscription {
@@ -83,7 +83,7 @@
                 info!(%address, failures, kept_back, fault, "deployer lost");
             }
             tokio::select! {
-                _ = sleep(pause(failures)) => {}
+                _ = sleep(self.pauses.after(failures)) => {}
                 Ok(()) = moved.changed() => {}
             }
         }
--- a/crates/spokeflow-platform/src/discovery.rs
+++ b/crates/spokeflow-platform/src/discovery.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use rand::RngExt;
 use spokeflow_http::{AnswerCodec, Part};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -16,12 +15,12 @@
 
 use crate::roster::Listing;
 use crate::serve::Arrival;
-use crate::Clock;
+use crate::{Clock, Pauses};
 
 /// An empty line comes every 2 s while nothing changes: silence for longer than two of them is a dead way.
 const SILENCE: Duration = Duration::from_secs(5);
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+pub const FIRST_PAUSE: Duration = Duration::from_millis(50);
+pub const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// One object of the watch at most.
 const OBJECT_LIMIT: usize = 4 << 20;
 
@@ -32,12 +31,7 @@
     pub connect_timeout: Duration,
     /// The newest revision heard.
     pub after: u64,
-}
-
-/// The pause after so many failures in a row, with jitter so that many routers do not return as one.
-pub fn pause(failures: u32) -> Duration {
-    let whole = FIRST_PAUSE.saturating_mul(1 << failures.min(8)).min(LONGEST_PAUSE);
-    whole.mul_f64(rand::rng().random_range(0.5..1.0))
+    pub pauses: Pauses,
 }
 
 impl Watching {
@@ -59,7 +53,7 @@
                 info!(%address, failures, kept_back, fault, "discovery lost");
             }
             tokio::select! {
-                _ = sleep(pause(failures)) => {}
+                _ = sleep(self.pauses.after(failures)) => {}
                 Ok(()) = moved.changed() => {}
             }
         }
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use spokeflow_core::{HostId, Micros};
+use spokeflow_core::{HostId, Micros, MET_BY};
 use spokeflow_engine::{Engine, EngineTerms, Input, Links};
 use spokeflow_proto::{
     BallotResult, Command, FrameFault, FromDesk, FromList, News, ToClient, ToDesk, ToHost, ToList,
@@ -22,12 +22,12 @@
 use crate::clients::{listen, Accepting, Desk, House};
 use crate::configuration::Limits;
 use crate::deployer::{Subscription, Vote};
-use crate::discovery::Watching;
+use crate::discovery::{Watching, FIRST_PAUSE, LONGEST_PAUSE};
 use crate::hosts::{Attempt, Connection, Leaving, Unused, Ways};
 use crate::program::PlatformProgram;
 use crate::reuse::Reuse;
 use crate::roster::{Listing, Roster};
-use crate::{Clock, Configuration};
+use crate::{Clock, Configuration, Pauses};
 
 /// Arrivals that wait for the engine at most; a task whose arrival finds no room waits, and so does its peer.
 const ARRIVALS: usize = 4096;
@@ -246,10 +246,14 @@
     }
 }
 
-/// Connections of clients and to hosts at most: two thirds and one third of what the others leave.
-fn shares(limits: &Limits) -> (usize, usize) {
+/// Connections of clients and to hosts at most, of what the others leave. A command holds one of each, and those to
+/// the hosts that this router meets stand unused between: what the told fleet, `hosts` and commands in flight come to, a third at
+/// least and half at most, goes to hosts.
+fn shares(limits: &Limits, fleet: u32, hosts: usize, in_flight: f64) -> (usize, usize) {
     let free = limits.sockets.saturating_sub(OTHERS) as usize;
-    (free - free / 3, free / 3)
+    let met = hosts as f64 * (MET_BY / f64::from(fleet.max(1))).min(1.0);
+    let to_hosts = ((met + in_flight).ceil() as usize).clamp(free / 3, free / 2);
+    (free - to_hosts, to_hosts)
 }
 
 fn micros(span: Duration) -> Micros {
@@ -355,8 +359,12 @@
     let (leave, leaving) = watch::channel(false);
     let (discovery, discovery_at) = watch::channel(told.discovery);
     let (deployer, deployer_at) = watch::channel(told.deployer);
-    let (client_places, host_places) = shares(&told.limits);
     let service = told.told.terms.clone();
+    let target = service.ops.iter().map(|op| op.service_target).max().unwrap_or(0);
+    let even = service.shares.iter().sum::<f64>() / f64::from(service.fleet_size.max(1));
+    let in_flight = even * span(target).as_secs_f64();
+    let hosts = told.known.as_ref().map_or(0, |known| known.members.len());
+    let (client_places, host_places) = shares(&told.limits, service.fleet_size, hosts, in_flight);
     let longest = service.ops.iter().map(|op| op.command_timeout).max().unwrap_or(0);
     let connect_timeout = match told.told.connect_timeout {
         0 => span(longest),
@@ -408,13 +416,28 @@
         here.give(Input::FromDesk(FromDesk::News(news)));
     }
     let mut helpers = JoinSet::new();
+    let pauses = |way| Pauses::new(told.seed, way, FIRST_PAUSE, LONGEST_PAUSE);
     let (watching, hearing) = (core.clone(), core);
     helpers.spawn(
-        Watching { address: discovery_at, clock: clock.clone(), core: watching, connect_timeout, after }
-            .run(),
+        Watching {
+            address: discovery_at,
+            clock: clock.clone(),
+            core: watching,
+            connect_timeout,
+            after,
+            pauses: pauses(0),
+        }
+        .run(),
     );
     helpers.spawn(
-        Subscription { address: deployer_at, clock: clock.clone(), core: hearing, connect_timeout }.run(),
+        Subscription {
+            address: deployer_at,
+            clock: clock.clone(),
+            core: hearing,
+            connect_timeout,
+            pauses: pauses(1),
+        }
+        .run(),
     );
     let clients = TaskTracker::new();
     let accepting = Accepting { listener, house, places: client_places, clients: clients.clone() };
@@ -476,3 +499,27 @@
     info!("router has ended");
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parts(sockets: u64, fleet: u32, hosts: usize, in_flight: f64) -> (usize, usize) {
+        shares(&Limits { cores: 1.0, memory_mb: 64, sockets }, fleet, hosts, in_flight)
+    }
+
+    /// Two thirds and one third whatever was told: a router of few that meets a thousand hosts went on making
+    /// connections anew while clients left half of theirs unused.
+    #[test]
+    fn descriptors_are_shared_by_fleet_hosts_and_load() {
+        assert_eq!(
+            parts(1_024, 300, 150, 2.0),
+            (667, 333),
+            "few hosts of many, little load: a third is plenty"
+        );
+        assert_eq!(parts(1_024, 3, 420, 5.0), (575, 425), "every host, and five commands in flight");
+        assert_eq!(parts(1_024, 3, 5_000, 5.0), (500, 500), "clients keep half");
+        assert_eq!(parts(256, 350, 300, 100.0), (116, 116), "fifty hosts and a hundred commands");
+        assert_eq!(parts(27, 350, 300, 1.0), (2, 1));
+    }
+}
--- a/crates/spokeflow-router/src/hosts.rs
+++ b/crates/spokeflow-router/src/hosts.rs
@@ -6,7 +6,6 @@
 
 use bytes::BytesMut;
 use futures_util::StreamExt;
-use rand::RngExt;
 use spokeflow_core::{HostId, Micros};
 use spokeflow_engine::{Input, NoAnswer, Outgoing};
 use spokeflow_proto::{FrameCodec, FromHost, Hello, ToHost, WORK_LIMIT};
@@ -18,7 +17,7 @@
 use tokio_util::codec::FramedRead;
 use tracing::{debug, info};
 
-use spokeflow_platform::Clock;
+use spokeflow_platform::{Clock, Pauses};
 
 use crate::serve::Arrival;
 
@@ -46,6 +45,8 @@
 pub struct LinkTerms {
     pub hello: Hello,
     pub connect_timeout: Duration,
+    /// Of all chance in pauses.
+    pub seed: u64,
     pub first_pause: Duration,
     pub longest_pause: Duration,
     pub idle: Duration,
@@ -54,10 +55,9 @@
 }
 
 impl LinkTerms {
-    /// The pause after so many failures in a row, with jitter so that many routers do not return as one.
-    pub fn pause(&self, failures: u32) -> Duration {
-        let whole = self.first_pause.saturating_mul(1 << failures.min(16)).min(self.longest_pause);
-        whole.mul_f64(rand::rng().random_range(0.5..1.0))
+    /// Pauses of one of this router's ways, by its number.
+    pub fn pauses(&self, way: u64) -> Pauses {
+        Pauses::new(self.seed, way, self.first_pause, self.longest_pause)
     }
 }
 
@@ -85,6 +85,7 @@
 impl HostLink {
     pub async fn run(mut self) {
         let mut outgoing = Outgoing::default();
+        let mut pauses = self.terms.pauses(u64::from(self.host.0));
         let mut failures = 0_u32;
         let mut not_before = Instant::now();
         loop {
@@ -115,12 +116,12 @@
                             // A host that takes connections and breaks them at once is left alone as well.
                             failures =
                                 if since.elapsed() > self.terms.longest_pause { 0 } else { failures + 1 };
-                            not_before = Instant::now() + self.terms.pause(failures.saturating_sub(1));
+                            not_before = Instant::now() + pauses.after(failures.saturating_sub(1));
                         }
                     }
                 }
                 Err(fault) => {
-                    not_before = Instant::now() + self.terms.pause(failures);
+                    not_before = Instant::now() + pauses.after(failures);
                     failures += 1;
                     if let Some(kept_back) = self.clock.line() {
                         info!(host = self.host.0, failures, kept_back, fault, "host not connected");
@@ -353,6 +354,7 @@
             let terms = LinkTerms {
                 hello: Hello::new(Role::Router, 0, 0),
                 connect_timeout: Duration::from_secs(5),
+                seed: 3,
                 first_pause: Duration::from_millis(50),
                 longest_pause: Duration::from_secs(2),
                 idle: Duration::from_secs(60),
--- a/crates/spokeflow-router/src/links.rs
+++ b/crates/spokeflow-router/src/links.rs
@@ -22,6 +22,11 @@
 use crate::hosts::LinkTerms;
 use crate::serve::Arrival;
 
+/// Numbers of the ways beside those to hosts, whose ids are below them.
+const LIST_WAY: u64 = 1 << 32;
+const DESK_WAY: u64 = LIST_WAY + 1;
+const PEER_WAYS: u64 = LIST_WAY + 2;
+
 type Link<In, Out> = Framed<TcpStream, FrameCodec<In, Out>>;
 
 /// Connects, says who calls and waits for the welcome.
@@ -61,6 +66,7 @@
 impl ListLink {
     pub async fn run(mut self) {
         let (mut failures, mut version) = (0_u32, None);
+        let mut pauses = self.terms.pauses(LIST_WAY);
         let mut kept = Kept::default();
         loop {
             let wait = self.terms.connect_timeout.max(Duration::from_secs(1));
@@ -83,7 +89,7 @@
                 return;
             }
             warn!(failures, %fault, "list link lost");
-            sleep(self.terms.pause(failures.saturating_sub(1))).await;
+            sleep(pauses.after(failures.saturating_sub(1))).await;
         }
     }
 
@@ -213,6 +219,7 @@
 impl DeskLink {
     pub async fn run(mut self) {
         let mut failures = 0_u32;
+        let mut pauses = self.terms.pauses(DESK_WAY);
         loop {
             let wait = self.terms.connect_timeout.max(Duration::from_secs(1));
             let hello = ToDesk::Hello(self.terms.hello.clone());
@@ -237,7 +244,7 @@
                 return;
             }
             warn!(failures, %fault, "desk link lost");
-            sleep(self.terms.pause(failures.saturating_sub(1))).await;
+            sleep(pauses.after(failures.saturating_sub(1))).await;
         }
     }
 
@@ -271,6 +278,7 @@
 impl PeerLink {
     pub async fn run(mut self) {
         let mut failures = 0_u32;
+        let mut pauses = self.terms.pauses(PEER_WAYS + u64::from(self.index));
         loop {
             let wait = self.terms.connect_timeout.max(Duration::from_secs(1));
             let hello = FromClient::Hello(self.terms.hello.clone());
@@ -289,7 +297,7 @@
             }
             info!(router = self.index, failures, "no link to another router");
             failures += 1;
-            sleep(self.terms.pause(failures)).await;
+            sleep(pauses.after(failures)).await;
             // Old evidence is no evidence: what could not be told meanwhile is dropped.
             while self.texts.try_recv().is_ok() {}
         }
--- a/crates/spokeflow-router/src/serve.rs
+++ b/crates/spokeflow-router/src/serve.rs
@@ -148,8 +148,10 @@
     let clock = Clock::starting_now();
     let (core, mut arrivals) = mpsc::channel(ARRIVALS);
     let hello = Hello::new(Role::Router, terms.index, terms.site);
+    let seed = terms.seed.unwrap_or_else(|| rand::rng().random());
     let links = Arc::new(LinkTerms {
         hello,
+        seed,
         connect_timeout: terms.connect_timeout,
         first_pause: terms.reconnect_first,
         longest_pause: terms.reconnect_most,
@@ -196,7 +198,6 @@
         host_queue: terms.host_queue,
         drain_grace: terms.service.drain_grace,
     };
-    let seed = terms.seed.unwrap_or_else(|| rand::rng().random());
     let mut record =
         terms.record.as_deref().map(|file| Recorder::open(file, seed, clock.now())).transpose()?;
     info!(index = terms.index, site = terms.site, address = %listening.address, seed, "router starts");
