--- a/crates/spokeflow-emulator/tests/days.rs
+++ b/crates/spokeflow-emulator/tests/days.rs
@@ -89,3 +89,12 @@
         assert!(long as f64 <= 1.3 * *short as f64, "{short:?} {long:?}");
     }
 }
+
+/// Seed 23 broke rule 5 by a fault of the checker: a delivery was counted when its connection stood.
+#[test]
+fn bad_days_of_many_seeds_keep_the_rules() {
+    for seed in 1..41 {
+        let report = play(&Scenario::bad_day(seed, 60 * SECOND), Who::Engine, true).report;
+        assert!(report.sound(), "{}", report.text());
+    }
+}
--- a/crates/spokeflow-scenario/src/scenario.rs
+++ b/crates/spokeflow-scenario/src/scenario.rs
@@ -217,6 +217,13 @@
     }
 }
 
+impl Kind {
+    /// Whether connections are made more slowly under it than on a calm day.
+    pub fn slows_connects(self) -> bool {
+        matches!(self, Kind::SlowConnects | Kind::SlowLink | Kind::LossyLinks)
+    }
+}
+
 impl FromStr for Kind {
     type Err = String;
     fn from_str(text: &str) -> Result<Self, String> {
--- a/crates/spokeflow-standin/tests/days.rs
+++ b/crates/spokeflow-standin/tests/days.rs
@@ -78,6 +78,13 @@
     assert!(report.builds[0].end.starts_with("sent back"), "{}", report.text());
 }
 
+/// Days of the command line, shorter: 13 and 31337 once broke rule 5, by a fault of the checker.
+#[test]
+fn bad_days_of_several_seeds_keep_the_rules() {
+    let days = [2, 7, 13, 31_337].map(|seed| short(Scenario::bad_day(seed, SHORT))).to_vec();
+    play_all(days).iter().for_each(sound);
+}
+
 #[test]
 fn a_terminal_sees_what_was_asked_and_wrong_use_is_named() {
     let run = |flags: &[&str]| {
