--- a/crates/spokeflow-core/tests/common/mod.rs
+++ b/crates/spokeflow-core/tests/common/mod.rs
@@ -337,3 +337,24 @@
 pub fn news(build: BuildId, stage: u8, standing: Standing, cap: f64) -> StageNews {
     StageNews { build, stage, standing, cap, age: 0 }
 }
+
+/// Checks nothing and keeps only what it is asked to send: for commands that no ledger knows.
+#[derive(Default)]
+pub struct Quiet {
+    pub sent: Vec<CommandId>,
+}
+
+impl Egress for Quiet {
+    fn deliver(&mut self, cmd: CommandId, _: HostId, _: Option<Micros>) {
+        self.sent.push(cmd);
+    }
+    fn nack(&mut self, _: CommandId, _: Option<Micros>) {}
+    fn fail(&mut self, _: CommandId) {}
+    fn cancel(&mut self, _: CommandId, _: u8) {}
+    fn wake(&mut self, _: Micros) {}
+    fn vote(&mut self, _: BuildId, _: u8, _: Verdict) {}
+    fn probe(&mut self, _: HostId) {}
+    fn watch_list(&mut self) {}
+    fn fetch_list(&mut self) {}
+    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
+}
--- a/crates/spokeflow-core/tests/level.rs
+++ b/crates/spokeflow-core/tests/level.rs
@@ -28,28 +28,9 @@
 #[global_allocator]
 static ALL: Counting = Counting;
 
-/// Answers at once and keeps only what is asked for.
-#[derive(Default)]
-struct Hosts(Vec<CommandId>);
-
-impl Egress for Hosts {
-    fn deliver(&mut self, cmd: CommandId, _: HostId, _: Option<Micros>) {
-        self.0.push(cmd);
-    }
-    fn nack(&mut self, _: CommandId, _: Option<Micros>) {}
-    fn fail(&mut self, _: CommandId) {}
-    fn cancel(&mut self, _: CommandId, _: u8) {}
-    fn wake(&mut self, _: Micros) {}
-    fn vote(&mut self, _: BuildId, _: u8, _: Verdict) {}
-    fn probe(&mut self, _: HostId) {}
-    fn watch_list(&mut self) {}
-    fn fetch_list(&mut self) {}
-    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
-}
-
 #[test]
 fn pins_of_a_released_build_do_not_grow_with_the_keys_ever_met() {
-    let mut out = Hosts::default();
+    let mut out = Quiet::default();
     let mut router = Router::new(&terms(Gate::Single), 3, 0, &mut out);
     let hosts: Vec<HostLine> = (0..8).map(|h| line(h, NEW)).collect();
     router.at(0).listed(ListKind::Whole, &hosts, &mut out);
@@ -59,7 +40,7 @@
             let now = Micros::from(n) * 10 * MS;
             let (cmd, key) = (CommandId(n), Key(u64::from(n) + 1));
             router.at(now).command(cmd, OpType(0), ShareId(0), key, SECOND, &mut out);
-            for cmd in std::mem::take(&mut out.0) {
+            for cmd in std::mem::take(&mut out.sent) {
                 router.at(now).ended(cmd, 0, DeliveryEnd::Acked, 50 * MS, true, &mut out);
             }
             router.at(now).woken(&mut out);
--- a/crates/spokeflow-core/tests/plain.rs
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -465,30 +465,14 @@
     ledger.list(&mut router, ListKind::Changes, &[HostLine { build: None, ..line(2, OLD) }]);
     ledger.lines.insert(HostId(2), line(2, OLD));
     ledger.tell(&mut router, news(NEW, 9, Standing::OnTrial, 0.4));
-    router.at(ledger.now).command(CommandId(1 << 30), OpType(99), ShareId(99), Key(1), SECOND, &mut Unheard);
+    let mut unheard = Quiet::default();
+    router.at(ledger.now).command(CommandId(1 << 30), OpType(99), ShareId(99), Key(1), SECOND, &mut unheard);
+    assert!(unheard.sent.is_empty(), "sent a command of no known op type");
     serve(&mut router, &mut ledger, 6 * SECOND, |_, _, _| GOOD);
     assert_eq!(votes(&ledger, Verdict::Back), 0);
     assert!(at_new(&ledger, 4 * SECOND) > 0.1);
 }
 
-/// Takes the answer to a command that no ledger knows.
-struct Unheard;
-
-impl Egress for Unheard {
-    fn deliver(&mut self, _: CommandId, _: HostId, _: Option<Micros>) {
-        panic!("sent a command of no known op type");
-    }
-    fn nack(&mut self, _: CommandId, _: Option<Micros>) {}
-    fn fail(&mut self, _: CommandId) {}
-    fn cancel(&mut self, _: CommandId, _: u8) {}
-    fn wake(&mut self, _: Micros) {}
-    fn vote(&mut self, _: BuildId, _: u8, _: Verdict) {}
-    fn probe(&mut self, _: HostId) {}
-    fn watch_list(&mut self) {}
-    fn fetch_list(&mut self) {}
-    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
-}
-
 /// Met on sockets under heavy overload: every command that waited was routed anew at each that came or went, so
 /// that the router fell seconds behind. Routing ends now where the hosts are full, and what has waited in vain
 /// must still be given up on at the next beat, not with the hosts.
