--- a/crates/spokeflow-quorum/src/lib.rs
+++ b/crates/spokeflow-quorum/src/lib.rs
@@ -8,4 +8,4 @@
 mod types;
 
 pub use member::Member;
-pub use types::{Entry, KeeperId, Message, Out, Place, QuorumTerms, Saved, Term, Write};
+pub use types::{Body, Entry, KeeperId, Message, Out, Place, QuorumTerms, Saved, Snapshot, Term, Write};
--- a/crates/spokeflow-quorum/src/member.rs
+++ b/crates/spokeflow-quorum/src/member.rs
@@ -4,10 +4,12 @@
 
 use spokeflow_core::{Chance, Micros};
 
-use crate::{Entry, KeeperId, Message, Out, Place, QuorumTerms, Saved, Term, Write};
+use crate::{Body, Entry, KeeperId, Message, Out, Place, QuorumTerms, Saved, Snapshot, Term, Write};
 
 /// Entries in one message at most.
 const AT_ONCE: usize = 64;
+/// Writes that wait for their sync at most. Beyond, the disk is taken to hang: nothing that writes is taken in.
+const UNSYNCED: usize = 1024;
 
 #[derive(Clone, Debug)]
 enum Role {
@@ -40,6 +42,10 @@
     wake: Micros,
     term: Term,
     voted: Option<KeeperId>,
+    /// Who votes by the newest entry that says so, committed or not.
+    members: Vec<KeeperId>,
+    snapshot: Snapshot,
+    /// What comes after the snapshot.
     log: Vec<Entry>,
     committed: Place,
     handed_out: Place,
@@ -60,18 +66,21 @@
     /// A member that has just started: it may have heard a leader a moment before and not remember it, so it keeps
     /// still for the least silence.
     pub fn new(own: KeeperId, terms: QuorumTerms, seed: u64, saved: Saved, now: Micros) -> Self {
+        let base = saved.snapshot.upto;
         let mut member = Member {
             own,
+            members: Vec::new(),
             terms,
             chance: Chance::new(seed),
             now,
             wake: now,
             term: saved.term,
             voted: saved.voted,
-            durable: Place(saved.log.len() as u64),
+            durable: Place(base.0 + saved.log.len() as u64),
+            snapshot: saved.snapshot,
             log: saved.log,
-            committed: Place(0),
-            handed_out: Place(0),
+            committed: base,
+            handed_out: base,
             role: Role::Follows,
             leader: None,
             silent_since: now,
@@ -80,10 +89,38 @@
             promised: VecDeque::new(),
             round: 0,
         };
+        member.seat();
         member.wait_for_leader();
         member
     }
 
+    /// Who votes: as the newest entry says, else the snapshot, else the terms.
+    fn seat(&mut self) {
+        let newest = self.log.iter().rev().find_map(|e| match &e.body {
+            Body::Members(members) => Some(members),
+            _ => None,
+        });
+        let kept = Some(&self.snapshot.members).filter(|m| !m.is_empty());
+        self.members = newest.or(kept).unwrap_or(&self.terms.members).clone();
+    }
+
+    pub fn members(&self) -> &[KeeperId] {
+        &self.members
+    }
+
+    pub fn committed(&self) -> Place {
+        self.committed
+    }
+
+    /// Entries that are kept beside the snapshot.
+    pub fn kept(&self) -> usize {
+        self.log.len()
+    }
+
+    fn votes(&self) -> bool {
+        self.members.contains(&self.own)
+    }
+
     pub fn next_wake(&self) -> Micros {
         self.wake
     }
@@ -110,28 +147,34 @@
         self.last_quorum(lead, now).is_some_and(|at| now < at + lease as Micros)
     }
 
+    /// Whether it leads and holds all that was ever committed, so that what it was handed is the present state.
+    pub fn speaks(&self, now: Micros) -> bool {
+        self.leads(now) && self.term_at(self.committed) == Some(self.term)
+    }
+
     /// When the latest round was sent that most members have answered.
     fn last_quorum(&self, lead: &Lead, now: Micros) -> Option<Micros> {
-        let mut at: Vec<Micros> = lead.answered.values().copied().chain([now]).collect();
+        let mut at: Vec<Micros> = self.members.iter().filter_map(|m| lead.answered.get(m).copied()).collect();
+        at.extend(self.votes().then_some(now));
         at.sort_unstable_by(|a, b| b.cmp(a));
         at.get(self.most() - 1).copied()
     }
 
     fn most(&self) -> usize {
-        self.terms.members.len() / 2 + 1
+        self.members.len() / 2 + 1
     }
 
     fn others(&self) -> Vec<KeeperId> {
-        self.terms.members.iter().copied().filter(|m| *m != self.own).collect()
+        self.members.iter().copied().filter(|m| *m != self.own).collect()
     }
 
     fn last(&self) -> Place {
-        Place(self.log.len() as u64)
+        Place(self.snapshot.upto.0 + self.log.len() as u64)
     }
 
     fn term_at(&self, place: Place) -> Option<Term> {
-        match place.0 {
-            0 => Some(Term(0)),
+        match place.0.checked_sub(self.snapshot.upto.0)? {
+            0 => Some(self.snapshot.term),
             n => self.log.get(n as usize - 1).map(|e| e.term),
         }
     }
@@ -139,13 +182,46 @@
     /// Puts an entry into the log. `Err` names the leader, if one is known.
     pub fn offer(&mut self, now: Micros, body: Vec<u8>, out: &mut Out) -> Result<Place, Option<KeeperId>> {
         self.now = now;
-        if !self.leads(now) {
+        if !self.leads(now) || self.unsynced.len() >= UNSYNCED {
             return Err(self.leader.filter(|l| *l != self.own));
         }
-        Ok(self.lay_down(body, out))
+        Ok(self.lay_down(Body::Act(body), out))
+    }
+
+    /// Takes one member in or out. One change at a time: any two majorities of the members before and after share
+    /// one, so that no two leaders can be elected side by side. `None`: not now, or not one member's difference.
+    pub fn change(&mut self, now: Micros, mut members: Vec<KeeperId>, out: &mut Out) -> Option<Place> {
+        self.now = now;
+        members.sort_unstable();
+        members.dedup();
+        let moved = members.iter().filter(|m| !self.members.contains(m)).count()
+            + self.members.iter().filter(|m| !members.contains(m)).count();
+        // A change by an earlier leader that is not committed could still fall or stand: first an own entry must.
+        let committed = (self.committed.0 - self.snapshot.upto.0) as usize;
+        let open = self.log[committed..].iter().any(|e| matches!(e.body, Body::Members(_)));
+        if !self.speaks(now) || open || moved != 1 || members.is_empty() {
+            return None;
+        }
+        Some(self.lay_down(Body::Members(members), out))
+    }
+
+    /// The caller's state holds all that it was handed up to `upto`: the log before is kept as that state.
+    pub fn compact(&mut self, upto: Place, state: Vec<u8>, out: &mut Out) {
+        if upto <= self.snapshot.upto || upto > self.handed_out {
+            return;
+        }
+        let cut = (upto.0 - self.snapshot.upto.0) as usize;
+        let term = self.log[cut - 1].term;
+        let newest = self.log[..cut].iter().rev().find_map(|e| match &e.body {
+            Body::Members(members) => Some(members.clone()),
+            _ => None,
+        });
+        let kept = || Some(self.snapshot.members.clone()).filter(|m| !m.is_empty());
+        let members = newest.or_else(kept).unwrap_or_else(|| self.terms.members.clone());
+        self.put(Some(Snapshot { upto, term, members, state }), self.last(), Vec::new(), out);
     }
 
-    fn lay_down(&mut self, body: Vec<u8>, out: &mut Out) -> Place {
+    fn lay_down(&mut self, body: Body, out: &mut Out) -> Place {
         let (keep, entry) = (self.last(), Entry { term: self.term, body });
         self.write(keep, vec![entry], out);
         self.speak(out);
@@ -154,13 +230,23 @@
 
     /// Writes term and vote, and the log behind `keep`.
     fn write(&mut self, keep: Place, entries: Vec<Entry>, out: &mut Out) {
-        self.log.truncate(keep.0 as usize);
+        self.put(None, keep, entries, out);
+    }
+
+    fn put(&mut self, snapshot: Option<Snapshot>, keep: Place, entries: Vec<Entry>, out: &mut Out) {
+        if let Some(snapshot) = &snapshot {
+            let over = (snapshot.upto.0 - self.snapshot.upto.0) as usize;
+            self.log.drain(..over.min(self.log.len()));
+            self.snapshot = snapshot.clone();
+        }
+        self.log.truncate((keep.0 - self.snapshot.upto.0) as usize);
         self.log.extend_from_slice(&entries);
+        self.seat();
         self.durable = self.durable.min(keep);
         self.written += 1;
         self.unsynced.push_back((self.written, keep, self.last()));
         let (number, term, voted) = (self.written, self.term, self.voted);
-        out.writes.push(Write { number, term, voted, keep, entries });
+        out.writes.push(Write { number, term, voted, snapshot, keep, entries });
     }
 
     /// Sends what promises that all written so far is synced.
@@ -203,6 +289,8 @@
                     self.speak(out);
                 }
             }
+            // One that is not, or no longer, among those who vote waits to be told.
+            _ if !self.votes() => self.wait_for_leader(),
             _ => {
                 self.leader = None;
                 let term = Term(self.term.0 + 1);
@@ -259,7 +347,7 @@
         });
         self.leader = Some(self.own);
         // Entries of earlier terms are committed by one of the own.
-        self.lay_down(Vec::new(), out);
+        self.lay_down(Body::Begin, out);
     }
 
     /// One round: to each what it lacks.
@@ -281,9 +369,14 @@
 
     fn append(&self, to: KeeperId, round: u64, out: &mut Out) {
         let Role::Leads(lead) = &self.role else { return };
-        let before = Place(lead.next[&to].0 - 1);
-        let before_term = self.term_at(before).unwrap_or_default();
-        let entries = self.log.iter().skip(before.0 as usize).take(AT_ONCE).cloned().collect();
+        let next = lead.next.get(&to).copied().unwrap_or(Place(self.last().0 + 1));
+        let before = Place(next.0 - 1);
+        let Some(before_term) = self.term_at(before) else {
+            let (term, snapshot) = (self.term, self.snapshot.clone());
+            return out.messages.push((to, Message::Install { term, snapshot, round }));
+        };
+        let skip = (before.0 - self.snapshot.upto.0) as usize;
+        let entries = self.log.iter().skip(skip).take(AT_ONCE).cloned().collect();
         let (term, committed) = (self.term, self.committed);
         out.messages.push((to, Message::Append { term, before, before_term, entries, committed, round }));
     }
@@ -291,21 +384,32 @@
     /// Only an entry of the own term is counted; with it all before it are committed.
     fn commit(&mut self, out: &mut Out) {
         if let Role::Leads(lead) = &self.role {
-            let mut agree: Vec<Place> = lead.agrees.values().copied().chain([self.durable]).collect();
+            let mut agree: Vec<Place> =
+                self.members.iter().filter_map(|m| lead.agrees.get(m).copied()).collect();
+            agree.extend(self.votes().then_some(self.durable));
             agree.sort_unstable_by(|a, b| b.cmp(a));
-            let upto = agree[self.most() - 1];
+            let upto = agree.get(self.most() - 1).copied().unwrap_or_default();
             if upto > self.committed && self.term_at(upto) == Some(self.term) {
                 self.committed = upto;
             }
         }
         while self.handed_out < self.committed {
             self.handed_out.0 += 1;
-            out.committed.push((self.handed_out, self.log[self.handed_out.0 as usize - 1].clone()));
+            let at = (self.handed_out.0 - self.snapshot.upto.0) as usize - 1;
+            out.committed.push((self.handed_out, self.log[at].clone()));
+        }
+        // One that has committed its own leaving has no more to say.
+        if self.is_elected() && !self.votes() && self.committed == self.last() {
+            self.follow(self.term, None, out);
         }
     }
 
     pub fn heard(&mut self, now: Micros, from: KeeperId, message: Message, out: &mut Out) {
         self.now = now;
+        // As if the message were lost: a disk that hangs must not fill the memory with what waits for it.
+        if self.unsynced.len() >= UNSYNCED {
+            return;
+        }
         match message {
             Message::Sound { term, last, last_term } => {
                 let granted = term > self.term && self.may_vote() && self.is_behind(last, last_term);
@@ -345,6 +449,25 @@
                 self.promise(from, Message::Appended { term: self.term, round, upto }, out);
             }
             Message::Appended { term, round, upto } => self.appended(from, term, round, upto, out),
+            Message::Install { term, snapshot, round } => {
+                if term < self.term {
+                    let upto = Err(Place(0));
+                    return out.messages.push((from, Message::Appended { term: self.term, round, upto }));
+                }
+                self.follow(term, Some(from), out);
+                self.silent_since = now;
+                let upto = snapshot.upto;
+                if upto > self.committed {
+                    // What follows the place in the own log stays where it agrees there.
+                    let agrees = self.term_at(upto) == Some(snapshot.term);
+                    let keep = if agrees { self.last() } else { upto };
+                    (self.committed, self.handed_out) = (upto, upto);
+                    out.committed.clear();
+                    out.restored = Some(snapshot.clone());
+                    self.put(Some(snapshot), keep, Vec::new(), out);
+                }
+                self.promise(from, Message::Appended { term: self.term, round, upto: Ok(upto) }, out);
+            }
         }
     }
 
@@ -380,11 +503,17 @@
 
     fn take_in(
         &mut self,
-        before: Place,
-        before_term: Term,
-        entries: Vec<Entry>,
+        mut before: Place,
+        mut before_term: Term,
+        mut entries: Vec<Entry>,
         out: &mut Out,
     ) -> Result<Place, Place> {
+        // What the snapshot holds was committed, and agrees.
+        let held = self.snapshot.upto.0.saturating_sub(before.0);
+        if held > 0 {
+            entries.drain(..entries.len().min(held as usize));
+            (before, before_term) = (self.snapshot.upto, self.snapshot.term);
+        }
         if self.term_at(before) != Some(before_term) {
             return Err(Place(self.last().0.min(before.0.saturating_sub(1))));
         }
--- a/crates/spokeflow-quorum/tests/days.rs
+++ b/crates/spokeflow-quorum/tests/days.rs
@@ -7,21 +7,40 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use spokeflow_core::Micros;
-use spokeflow_quorum::{Entry, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Term, Write};
+use spokeflow_quorum::{Body, Entry, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Term, Write};
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000 * MS;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum What {
-    Arrives { to: usize, from: KeeperId, message: Message },
-    Synced { member: usize, start: u32, write: Write },
-    Wake { member: usize, start: u32 },
+    Arrives {
+        to: usize,
+        from: KeeperId,
+        message: Message,
+    },
+    Synced {
+        member: usize,
+        start: u32,
+        write: Write,
+    },
+    Wake {
+        member: usize,
+        start: u32,
+    },
     Offer(u64),
+    /// Takes a member in or out.
+    Change,
     Fault,
-    Mend { cut: u64 },
-    Goes { member: usize },
-    Restart { member: usize },
+    Mend {
+        cut: u64,
+    },
+    Goes {
+        member: usize,
+    },
+    Restart {
+        member: usize,
+    },
 }
 
 struct Keeper {
@@ -33,8 +52,10 @@
     /// What came while it was stopped.
     kept: Vec<What>,
     rate: f64,
-    /// Entries handed out and writes synced by the present process.
+    /// The place up to which entries were handed out or restored, the sum over them as the caller's state, and writes
+    /// synced, by the present process.
     done: u64,
+    state: u64,
     wrote: u64,
 }
 
@@ -51,17 +72,22 @@
     terms: QuorumTerms,
     /// What was committed anywhere, and who was elected in each term.
     log: BTreeMap<u64, Entry>,
+    /// By place, the sum over all up to it.
+    states: BTreeMap<u64, u64>,
+    restored: usize,
+    changes: usize,
     elected: BTreeMap<Term, KeeperId>,
     taken: Vec<(Place, Term, u64)>,
     elections: usize,
 }
 
 impl Day {
-    fn new(seed: u64, keepers: u32, faulty: bool) -> Day {
+    /// `spare`: members that are there and not taken in yet.
+    fn new(seed: u64, keepers: u32, spare: u32, faulty: bool) -> Day {
         let members = (0..keepers).map(KeeperId).collect();
         let terms = QuorumTerms { members, silence: 300 * MS, beat: 60 * MS, drift: 0.01 };
         let mut chance = StdRng::seed_from_u64(seed);
-        let keepers = (0..keepers).map(|_| Keeper {
+        let keepers = (0..keepers + spare).map(|_| Keeper {
             member: None,
             start: 0,
             disk: Saved::default(),
@@ -69,6 +95,7 @@
             kept: Vec::new(),
             rate: chance.random_range(0.99..1.01),
             done: 0,
+            state: 0,
             wrote: 0,
         });
         let keepers: Vec<Keeper> = keepers.collect();
@@ -83,6 +110,9 @@
             faulty,
             terms,
             log: BTreeMap::new(),
+            states: BTreeMap::from([(0, 0)]),
+            restored: 0,
+            changes: 0,
             elected: BTreeMap::new(),
             taken: Vec::new(),
             elections: 0,
@@ -92,6 +122,9 @@
         if faulty {
             day.plan(SECOND, What::Fault);
         }
+        if spare > 0 {
+            day.plan(SECOND, What::Change);
+        }
         day
     }
 
@@ -108,11 +141,15 @@
 
     fn restart(&mut self, n: usize) {
         let (now, seed) = (self.clock(n), self.chance.random());
+        let id = KeeperId(n as u32);
+        let mut terms = self.terms.clone();
+        terms.members.retain(|_| self.terms.members.contains(&id));
         let k = &mut self.keepers[n];
         k.start += 1;
-        (k.stopped, k.done, k.wrote) = (false, 0, 0);
+        (k.stopped, k.done, k.wrote) = (false, k.disk.snapshot.upto.0, 0);
+        k.state = self.states[&k.done];
         k.kept.clear();
-        k.member = Some(Member::new(KeeperId(n as u32), self.terms.clone(), seed, k.disk.clone(), now));
+        k.member = Some(Member::new(id, terms, seed, k.disk.clone(), now));
         self.wake(n);
     }
 
@@ -148,12 +185,33 @@
         for (to, message) in out.messages {
             self.send(n, to.0 as usize, message);
         }
+        if let Some(snapshot) = out.restored {
+            let (k, upto) = (&mut self.keepers[n], snapshot.upto.0);
+            assert!(upto > k.done, "a snapshot takes nothing back");
+            assert_eq!(snapshot.state, self.states[&upto].to_be_bytes(), "another state at {upto}");
+            (k.done, k.state, self.restored) = (upto, self.states[&upto], self.restored + 1);
+        }
         for (place, entry) in out.committed {
             let k = &mut self.keepers[n];
             assert_eq!(place.0, k.done + 1, "handed out in order");
             k.done = place.0;
+            k.state = k.state.wrapping_mul(31).wrapping_add(place.0 ^ entry.term.0);
             let known = self.log.entry(place.0).or_insert_with(|| entry.clone());
             assert_eq!(*known, entry, "two entries at {place:?}");
+            assert_eq!(*self.states.entry(place.0).or_insert(k.state), k.state);
+        }
+        let k = &mut self.keepers[n];
+        let many = k.member.as_ref().map_or(0, |m| m.kept());
+        if many > 150 && k.done > k.disk.snapshot.upto.0 + 50 && !k.stopped {
+            let (upto, state) = (Place(k.done - 20), self.states[&(k.done - 20)]);
+            let mut out = Out::default();
+            if let Some(member) = &mut k.member {
+                member.compact(upto, state.to_be_bytes().to_vec(), &mut out);
+            }
+            for write in out.writes {
+                let start = self.keepers[n].start;
+                self.plan(2 * MS, What::Synced { member: n, start, write });
+            }
         }
         let leads: Vec<usize> = (0..self.keepers.len()).filter(|&m| self.leads(m)).collect();
         assert!(leads.len() < 2, "two that may act at {}: {leads:?}", self.now);
@@ -229,6 +287,28 @@
         }
     }
 
+    /// The acting leader takes a spare one in, or another out where there are five; never the same set for long.
+    fn change(&mut self) {
+        self.plan(900 * MS, What::Change);
+        let drawn = self.chance.random_range(0..self.keepers.len() as u32);
+        for m in 0..self.keepers.len() {
+            if self.keepers[m].stopped || !self.leads(m) {
+                continue;
+            }
+            let mut changed = false;
+            self.call(m, |member, now, out| {
+                let mut members = member.members().to_vec();
+                if !members.contains(&KeeperId(drawn)) && members.len() < 5 {
+                    members.push(KeeperId(drawn));
+                } else if members.len() > 3 {
+                    members.retain(|k| *k != KeeperId(drawn));
+                }
+                changed = member.change(now, members, out).is_some();
+            });
+            self.changes += usize::from(changed);
+        }
+    }
+
     /// No further faults; what is cut, stopped or dead comes back.
     fn calm(&mut self) {
         self.faulty = false;
@@ -286,6 +366,7 @@
                 self.wake(member);
             }
             What::Offer(n) => self.offer(n),
+            What::Change => self.change(),
             What::Fault => self.fault(),
             What::Mend { cut } => self.cuts.retain(|c| c.0 != cut),
             What::Goes { member } => {
@@ -305,7 +386,7 @@
 #[test]
 fn in_peace_one_leader_takes_and_commits_all() {
     for keepers in [1, 3, 5, 7] {
-        let mut day = Day::new(u64::from(keepers), keepers, false);
+        let mut day = Day::new(u64::from(keepers), keepers, 0, false);
         day.run(11 * SECOND);
         assert_eq!(day.elections, 1, "{keepers} keepers");
         // Fifty offers a second, from the election on; the last may be on their way.
@@ -321,9 +402,9 @@
 /// Each step checks: one leader a term, never two that may act, one entry a place for good, handed out in order.
 #[test]
 fn days_of_drawn_faults_keep_one_log_and_one_acting_leader() {
-    let (mut elections, mut entries) = (0, 0);
+    let (mut elections, mut entries, mut restored, mut changes) = (0, 0, 0, 0);
     for seed in 0..60 {
-        let mut day = Day::new(seed, [3, 5][seed as usize % 2], true);
+        let mut day = Day::new(seed, [3, 5, 3][seed as usize % 3], [0, 0, 4][seed as usize % 3], true);
         day.run(40 * SECOND);
         let before = day.log.len();
         day.calm();
@@ -331,11 +412,18 @@
         assert!(day.log.len() > before + 200, "seed {seed}: {before} entries, {} when mended", day.log.len());
         for (place, term, n) in &day.taken {
             if let Some(entry) = day.log.get(&place.0).filter(|e| e.term == *term) {
-                assert_eq!(entry.body, n.to_be_bytes(), "seed {seed}: another body at {place:?}");
+                assert_eq!(
+                    entry.body,
+                    Body::Act(n.to_be_bytes().to_vec()),
+                    "seed {seed}: another body at {place:?}"
+                );
             }
         }
         (elections, entries) = (elections + day.elections, entries + day.log.len());
+        (restored, changes) = (restored + day.restored, changes + day.changes);
     }
     // The days must have had something to break.
+    println!("{elections} elections, {entries} entries, {restored} snapshots taken in, {changes} changes");
     assert!(elections > 300 && entries > 60 * 500, "{elections} elections, {entries} entries");
+    assert!(restored > 20 && changes > 200, "{restored} snapshots taken in, {changes} changes");
 }
--- a/crates/spokeflow-quorum/tests/member.rs
+++ b/crates/spokeflow-quorum/tests/member.rs
@@ -1,7 +1,9 @@
 //! One member among scripted others: what drawn days and the search meet too seldom.
 
 use spokeflow_core::Micros;
-use spokeflow_quorum::{Entry, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Term};
+use spokeflow_quorum::{
+    Body, Entry, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Snapshot, Term,
+};
 
 const SILENCE: Micros = 300_000;
 const A: KeeperId = KeeperId(1);
@@ -86,8 +88,8 @@
 
 #[test]
 fn an_own_entry_counts_once_it_is_synced_and_one_of_an_earlier_term_not_by_itself() {
-    let old = Entry { term: Term(1), body: b"old".to_vec() };
-    let mut member = started(Saved { term: Term(1), voted: None, log: vec![old.clone()] });
+    let old = Entry { term: Term(1), body: Body::Act(b"old".to_vec()) };
+    let mut member = started(Saved { term: Term(1), log: vec![old.clone()], ..Saved::default() });
     let (at, written) = elected(&mut member);
     let term = member.term();
     let answer = |upto| Message::Appended { term, round: 1, upto: Ok(Place(upto)) };
@@ -98,3 +100,92 @@
     assert_eq!(committed.iter().map(|c| c.0).collect::<Vec<_>>(), [Place(1), Place(2)]);
     assert_eq!(committed[0].1, old);
 }
+
+fn appended(term: Term, round: u64, upto: u64) -> Message {
+    Message::Appended { term, round, upto: Ok(Place(upto)) }
+}
+
+#[test]
+fn members_change_one_at_a_time_and_not_before_an_own_entry_is_committed() {
+    let mut member = started(Saved::default());
+    let (at, written) = elected(&mut member);
+    let (term, mut out) = (member.term(), Out::default());
+    let four: Vec<KeeperId> = (0..4).map(KeeperId).collect();
+    hear(&mut member, at, A, Message::Appended { term, round: 1, upto: Err(Place(0)) });
+    assert!(
+        member.leads(at) && member.change(at, four.clone(), &mut out).is_none(),
+        "nothing of its own stands"
+    );
+    sync(&mut member, at, &written);
+    hear(&mut member, at, A, appended(term, 1, 1));
+    assert!(member.change(at, (0..5).map(KeeperId).collect(), &mut out).is_none(), "two at once");
+    let mut out = Out::default();
+    assert_eq!(member.change(at, four, &mut out), Some(Place(2)));
+    assert!(member.change(at, vec![KeeperId(0), A, B], &mut out).is_none(), "one is under way");
+    // Three of four are needed at once: the change counts from its entry on.
+    sync(&mut member, at, &out);
+    assert!(hear(&mut member, at, A, appended(term, 1, 2)).committed.is_empty());
+    assert_eq!(hear(&mut member, at, KeeperId(3), appended(term, 1, 2)).committed.len(), 1);
+}
+
+#[test]
+fn a_follower_behind_the_snapshot_gets_it_and_an_old_append_into_it_cuts_nothing() {
+    let act = |n: u8| Entry { term: Term(1), body: Body::Act(vec![n]) };
+    let mut member = started(Saved { term: Term(1), log: (1..5).map(act).collect(), ..Saved::default() });
+    let (at, written) = elected(&mut member);
+    let term = member.term();
+    hear(&mut member, at, A, appended(term, 1, 5));
+    sync(&mut member, at, &written);
+    let mut out = Out::default();
+    member.compact(Place(4), b"four".to_vec(), &mut out);
+    assert_eq!((member.kept(), out.writes.len()), (1, 1));
+    sync(&mut member, at, &out);
+    let asks = Message::Appended { term, round: 1, upto: Err(Place(1)) };
+    let out = hear(&mut member, at, B, asks);
+    let Message::Install { snapshot, .. } = &out.messages[0].1 else { panic!("{out:?}") };
+    let mut other = started(Saved::default());
+    let install = Message::Install { term, snapshot: snapshot.clone(), round: 2 };
+    let written = hear(&mut other, at, A, install);
+    assert!(written.messages.is_empty(), "no promise before the snapshot is on the disk");
+    assert_eq!(written.restored.as_ref().map(|s: &Snapshot| s.state.as_slice()), Some(&b"four"[..]));
+    assert!(matches!(
+        sync(&mut other, at, &written).messages[..],
+        [(A, Message::Appended { upto: Ok(Place(4)), .. })]
+    ));
+    // Held by the network from before: places 2 to 4, of which the last two are held as state.
+    let old = Message::Append {
+        term,
+        before: Place(1),
+        before_term: Term(1),
+        entries: vec![act(2), act(3)],
+        committed: Place(2),
+        round: 1,
+    };
+    let out = hear(&mut other, at, A, old);
+    assert!(out.writes.is_empty() && out.committed.is_empty(), "{out:?}");
+}
+
+#[test]
+fn what_waits_for_a_disk_that_hangs_is_bounded() {
+    let mut member = started(Saved::default());
+    let mut waits = 0;
+    for n in 0..5000 {
+        let (before, before_term) = (Place(n), Term(u64::from(n > 0)));
+        let entries = vec![Entry { term: Term(1), body: Body::Begin }];
+        let message =
+            Message::Append { term: Term(1), before, before_term, entries, committed: Place(0), round: n };
+        waits += hear(&mut member, SILENCE, A, message).writes.len();
+    }
+    assert!(waits <= 1025, "{waits}");
+}
+
+#[test]
+fn one_that_is_not_among_those_who_vote_never_stands() {
+    let terms = QuorumTerms { members: vec![], silence: SILENCE, beat: 60_000, drift: 0.01 };
+    let mut spare = Member::new(KeeperId(9), terms, 7, Saved::default(), 0);
+    for _ in 0..10 {
+        let (at, mut out) = (spare.next_wake(), Out::default());
+        spare.woken(at, &mut out);
+        assert!(out.messages.is_empty() && !spare.is_elected());
+    }
+}
