--- /dev/null
+++ b/crates/spokeflow-agreed/src/granter.rs
@@ -0,0 +1,100 @@
+//! The leading keeper's side: who holds a lease, and when the announced revision may come into force.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use spokeflow_core::Micros;
+
+use crate::{Asked, LeaseTerms, Ledger, Revision, RevisionNo};
+
+/// Routers whose leases are kept in mind; beyond, an announced revision waits for time alone.
+const HOLDERS: usize = 8192;
+
+/// A revision, whole where the router does not have it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    pub number: RevisionNo,
+    pub revision: Option<Revision>,
+}
+
+/// A lease, from the moment at which it was asked for: on the revision in force, and, where another is announced,
+/// on the stricter of both.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    pub in_force: Known,
+    pub announced: Option<Known>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    until: Micros,
+    acts_on: RevisionNo,
+}
+
+/// All figures are of the present leadership: a keeper that is elected anew begins with none.
+#[derive(Clone, Debug)]
+pub struct Granter {
+    terms: LeaseTerms,
+    /// From when on nobody else can have given leases.
+    led_since: Micros,
+    announced: Option<(RevisionNo, Micros)>,
+    /// By router's process.
+    leases: BTreeMap<u64, Lease>,
+    over: bool,
+}
+
+impl Granter {
+    pub fn new(terms: LeaseTerms, now: Micros) -> Self {
+        Granter { terms, led_since: now, announced: None, leases: BTreeMap::new(), over: false }
+    }
+
+    /// To be called by a leader that speaks at this moment, only.
+    pub fn ask(&mut self, now: Micros, asked: &Asked, ledger: &Ledger) -> Grant {
+        self.leases.retain(|_, l| l.until > now);
+        let until = now + self.terms.waits();
+        let known = self.leases.get(&asked.process).map_or(RevisionNo(0), |l| l.acts_on);
+        if known == RevisionNo(0) && self.leases.len() >= HOLDERS {
+            self.over = true;
+        } else {
+            // Messages overtake each other: what a router has once said it acts on stays said.
+            let lease = Lease { until, acts_on: asked.acts_on.max(known) };
+            self.leases.insert(asked.process, lease);
+        }
+        let tell = |revision: &Revision| Known {
+            number: revision.number,
+            revision: (!asked.knows.contains(&revision.number)).then(|| revision.clone()),
+        };
+        Grant { in_force: tell(&ledger.in_force), announced: ledger.announced.as_ref().map(tell) }
+    }
+
+    /// The announced revision, where every lease that was given without it is over, or its router has since said
+    /// that it acts on it.
+    pub fn ready(&mut self, now: Micros, ledger: &Ledger) -> Option<RevisionNo> {
+        let number = ledger.announced.as_ref()?.number;
+        let since = match self.announced {
+            Some((n, since)) if n == number => since,
+            _ => {
+                self.announced = Some((number, now));
+                now
+            }
+        };
+        let waits = self.terms.waits();
+        // Leases of an earlier leader are not known here: they have to run out.
+        let all_known = now - self.led_since >= waits && !self.over;
+        let all_act = self.leases.values().all(|l| l.until <= now || l.acts_on >= number);
+        (now - since >= waits || all_known && all_act).then_some(number)
+    }
+
+    /// When [`Granter::ready`] may change next by time alone; `None`: not any more, or nothing is announced.
+    pub fn next_look(&self, now: Micros) -> Option<Micros> {
+        let since = self.announced?.1;
+        let waits = self.terms.waits();
+        [since + waits, self.led_since + waits].into_iter().filter(|t| *t > now).min()
+    }
+
+    /// Live leases, and how many of them are of routers that act on the newest revision.
+    pub fn counts(&self, now: Micros, ledger: &Ledger) -> (usize, usize) {
+        let live = || self.leases.values().filter(|l| l.until > now);
+        (live().count(), live().filter(|l| l.acts_on >= ledger.newest()).count())
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-agreed/src/terms.rs
@@ -0,0 +1,132 @@
+//! Terms of leases, and the service terms that a revision may change while routers run.
+
+use serde::{Deserialize, Serialize};
+use spokeflow_core::{Micros, ServiceTerms};
+
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseTerms {
+    /// Longest time, by a true clock, for which one grant may be acted on.
+    pub lease: Micros,
+    /// How much faster or slower than true a clock may run, as a share.
+    pub drift: f64,
+}
+
+impl LeaseTerms {
+    /// By the holder's own clock, from the sending of its request: no longer than the lease though it run slow.
+    pub fn held(&self) -> Micros {
+        (self.lease as f64 * (1.0 - self.drift)) as Micros
+    }
+
+    /// By the granter's own clock: no shorter than the lease though it run fast.
+    pub fn waits(&self) -> Micros {
+        (self.lease as f64 * (1.0 + self.drift)).ceil() as Micros
+    }
+
+    /// The longest time for which two routers may act on revisions that contradict each other, whatever fails: what
+    /// was granted before the first grant of the later revision has run out after one lease.
+    pub fn longest_contradiction(&self) -> Micros {
+        self.lease
+    }
+}
+
+/// What a revision may change while routers run. Windows (`exposure-span`, `fall-span`), what counts in them, op types
+/// and one-way keys are not among them: what was counted under the old ones cannot be counted anew.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AgreedTerms {
+    /// Each customer's commands a second, all routers together.
+    pub shares: Vec<f64>,
+    pub fleet_size: u32,
+    pub delivery_cap: u32,
+    pub side_by_side: bool,
+    pub longest_return: Micros,
+    pub drain_grace: Micros,
+    pub cold_from: f64,
+    pub fall_multiple: f64,
+    /// A ceiling on the cap that the desk tells, by stage, beside its old use.
+    pub stage_caps: Vec<f64>,
+    pub exposure_free: f64,
+    pub guarded_stages: u8,
+    pub complaint_share: f64,
+    pub back_votes: u32,
+    pub votes_a_second: f64,
+}
+
+impl AgreedTerms {
+    pub fn of(terms: &ServiceTerms) -> Self {
+        AgreedTerms {
+            shares: terms.shares.clone(),
+            fleet_size: terms.fleet_size,
+            delivery_cap: terms.delivery_cap,
+            side_by_side: terms.side_by_side,
+            longest_return: terms.longest_return,
+            drain_grace: terms.drain_grace,
+            cold_from: terms.cold_from,
+            fall_multiple: terms.fall_multiple,
+            stage_caps: terms.stage_caps.clone(),
+            exposure_free: terms.exposure_free,
+            guarded_stages: terms.guarded_stages,
+            complaint_share: terms.complaint_share,
+            back_votes: terms.back_votes,
+            votes_a_second: terms.votes_a_second,
+        }
+    }
+
+    pub fn put_into(&self, terms: &mut ServiceTerms) {
+        terms.shares.clone_from(&self.shares);
+        terms.fleet_size = self.fleet_size;
+        terms.delivery_cap = self.delivery_cap;
+        terms.side_by_side = self.side_by_side;
+        terms.longest_return = self.longest_return;
+        terms.drain_grace = self.drain_grace;
+        terms.cold_from = self.cold_from;
+        terms.fall_multiple = self.fall_multiple;
+        terms.stage_caps.clone_from(&self.stage_caps);
+        terms.exposure_free = self.exposure_free;
+        terms.guarded_stages = self.guarded_stages;
+        terms.complaint_share = self.complaint_share;
+        terms.back_votes = self.back_votes;
+        terms.votes_a_second = self.votes_a_second;
+    }
+
+    /// What can be acted on where `announced` may already be acted on by others and this one still is: the stricter
+    /// value where one can be told, else this one's.
+    ///
+    /// Stricter: fewer deliveries, no copies side by side, a shorter grace, hosts taken to start colder and to fall
+    /// sooner, lower caps (a stage that one of both lacks has none), more guarded stages, a larger fleet, since each
+    /// router's part of every common budget is smaller. Of customers' shares, times to come back and the counting of
+    /// votes none is the stricter.
+    pub fn stricter(&self, announced: &AgreedTerms) -> AgreedTerms {
+        let (a, b) = (self, announced);
+        let stages = a.stage_caps.len().max(b.stage_caps.len());
+        let cap = |caps: &[f64], n: usize| caps.get(n).copied().unwrap_or(0.0);
+        AgreedTerms {
+            fleet_size: a.fleet_size.max(b.fleet_size),
+            delivery_cap: a.delivery_cap.min(b.delivery_cap),
+            side_by_side: a.side_by_side && b.side_by_side,
+            drain_grace: a.drain_grace.min(b.drain_grace),
+            cold_from: a.cold_from.min(b.cold_from),
+            fall_multiple: a.fall_multiple.min(b.fall_multiple),
+            stage_caps: (0..stages).map(|n| cap(&a.stage_caps, n).min(cap(&b.stage_caps, n))).collect(),
+            exposure_free: a.exposure_free.min(b.exposure_free),
+            guarded_stages: a.guarded_stages.max(b.guarded_stages),
+            ..a.clone()
+        }
+    }
+
+    /// What contradicts no later revision, however strict that is: nothing goes to a build on trial, one delivery for
+    /// each command, hosts that drain get nothing more at once, and cold ones next to nothing. Of customers' shares and
+    /// the counting of votes none is the stricter: they stay.
+    pub fn standing_build_only(&self) -> AgreedTerms {
+        AgreedTerms {
+            stage_caps: vec![0.0; self.stage_caps.len()],
+            exposure_free: 0.0,
+            guarded_stages: u8::MAX,
+            delivery_cap: 1,
+            side_by_side: false,
+            drain_grace: 0,
+            cold_from: f64::MIN_POSITIVE,
+            fall_multiple: 1.0,
+            ..self.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-agreed/src/wire.rs
@@ -0,0 +1,115 @@
+//! What crosses the sockets of keepers, in the frames of `spokeflow-proto`. The order of variants and fields is the
+//! wire form.
+
+use serde::{Deserialize, Serialize};
+use spokeflow_quorum::{KeeperId, Message, Place, Term};
+
+use crate::{Asked, Grant, Offer, Record, Revision, Verdict};
+
+pub const MAGIC: [u8; 4] = *b"SPKK";
+pub const VERSION: u16 = 1;
+/// Longest frame, in bytes: a snapshot of the ledger, or 64 entries.
+pub const LIMIT: usize = 8 << 20;
+
+/// What all keepers of a fleet must be told alike.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Common {
+    pub fleet: u64,
+    pub silence_us: u64,
+    pub lease_us: u64,
+    pub drift: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Caller {
+    Keeper {
+        id: KeeperId,
+        /// Counted on its disk at each start; a keeper with an older one has lost what it promised since.
+        start: u64,
+        /// Drawn at the start: two processes with one count have one disk, copied.
+        process: u64,
+        common: Common,
+    },
+    Router {
+        index: u32,
+    },
+    Person,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    Lease(Asked),
+    Offer(Offer),
+    View,
+    /// Where a keeper is to be found; then it may be taken in.
+    Seat {
+        keeper: KeeperId,
+        address: String,
+    },
+    /// Who votes from now on: one more or one less.
+    Members(Vec<KeeperId>),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    Granted(Box<Grant>),
+    /// Nobody leads, as far as this keeper knows: nothing was done.
+    NoLeader,
+    Offered(Verdict),
+    /// It may have been done or not; asking again with the same token tells.
+    Unclear,
+    /// It was refused for what it says.
+    Bad(String),
+    View(Box<View>),
+    /// Laid down; whether it stands is seen in the view.
+    Begun,
+}
+
+/// The state at one instant, as the leading keeper holds it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    pub leader: KeeperId,
+    pub term: Term,
+    pub committed: Place,
+    pub in_force: Revision,
+    pub announced: Option<Revision>,
+    /// The newest last.
+    pub history: Vec<Record>,
+    pub members: Vec<KeeperId>,
+    pub seats: Vec<(KeeperId, String)>,
+    /// Leases that this leader has given and that hold, and how many of them act on the newest revision.
+    pub leases: u64,
+    pub acting: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToKeeper {
+    Hello { magic: [u8; 4], version: u16, caller: Caller },
+    Quorum(Message),
+    Ask { number: u64, ask: Ask },
+}
+
+impl ToKeeper {
+    pub fn hello(caller: Caller) -> Self {
+        ToKeeper::Hello { magic: MAGIC, version: VERSION, caller }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    Version,
+    OutOfOrder,
+    /// Keepers that are not told alike.
+    Terms,
+    /// The caller's disk is older than one that this keeper has met.
+    OldDisk,
+    /// As many callers as there is room for.
+    Full,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromKeeper {
+    Welcome { keeper: KeeperId, common: Common },
+    Refused { why: Refusal, text: String },
+    Answer { number: u64, answer: Answer },
+}
--- /dev/null
+++ b/crates/spokeflow-agreed/tests/leases.rs
@@ -0,0 +1,243 @@
+//! One granter after the other and many holders in simulated time: messages late, lost, doubled and overtaking, clocks up
+//! to the told drift off, holders stopped and started anew, leaders that follow each other. No two holders ever act on
+//! revisions that contradict each other for longer than one lease.
+
+use std::collections::BTreeMap;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use spokeflow_agreed::*;
+use spokeflow_core::Micros;
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000 * MS;
+const TERMS: LeaseTerms = LeaseTerms { lease: 2 * SECOND, drift: 0.01 };
+
+struct Router {
+    holder: Holder,
+    rate: f64,
+    stopped_until: Micros,
+    ask_at: Micros,
+    process: u64,
+}
+
+enum What {
+    Asks(usize, u64, Asked),
+    Answers(usize, u64, u64, Grant),
+}
+
+struct World {
+    now: Micros,
+    chance: StdRng,
+    routers: Vec<Router>,
+    ledger: Ledger,
+    leader: Option<(Granter, f64)>,
+    lead_from: Micros,
+    wire: BTreeMap<(Micros, u64), What>,
+    sent: u64,
+    /// By revision: when it was announced, and when it came into force.
+    at: BTreeMap<u64, (Micros, Option<Micros>)>,
+    waits: Vec<Micros>,
+    longest: Micros,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut chance = StdRng::seed_from_u64(seed);
+        let routers = (0..8).map(|n| Router {
+            holder: Holder::new(TERMS, n, n as u32),
+            rate: chance.random_range(0.99..=1.01),
+            stopped_until: 0,
+            ask_at: 0,
+            process: n,
+        });
+        let routers = routers.collect();
+        let (ledger, wire, at) = (Ledger::default(), BTreeMap::new(), BTreeMap::new());
+        let (now, leader, lead_from, sent) = (100 * SECOND, None, 101 * SECOND, 0);
+        World { now, chance, routers, ledger, leader, lead_from, wire, sent, at, waits: vec![], longest: 0 }
+    }
+
+    fn post(&mut self, what: What) {
+        if self.chance.random_bool(0.05) {
+            return;
+        }
+        let held = self.chance.random_bool(0.1);
+        let most = if held { 5 * SECOND } else { 60 * MS };
+        let at = self.now + self.chance.random_range(MS..most);
+        self.sent += 1;
+        self.wire.insert((at, self.sent), what);
+    }
+
+    fn leader_now(&self, rate: f64) -> Micros {
+        (self.now as f64 * rate) as Micros
+    }
+
+    fn step(&mut self) {
+        self.now += 5 * MS;
+        // Leaders: one at a time, with gaps, as the keepers' own leases see to.
+        if self.leader.is_some() && self.chance.random_bool(0.002) {
+            self.leader = None;
+            self.lead_from = self.now + self.chance.random_range(0..3 * SECOND);
+        }
+        if self.leader.is_none() && self.now >= self.lead_from {
+            let rate = self.chance.random_range(0.99..=1.01);
+            self.leader = Some((Granter::new(TERMS, self.leader_now(rate)), rate));
+        }
+        while self.wire.first_key_value().is_some_and(|m| m.0 .0 <= self.now) {
+            match self.wire.pop_first().unwrap().1 {
+                What::Asks(n, number, asked) => {
+                    let now = self.leader.as_ref().map(|l| self.leader_now(l.1));
+                    if let (Some((granter, _)), Some(now)) = (&mut self.leader, now) {
+                        let grant = granter.ask(now, &asked, &self.ledger);
+                        let process = asked.process;
+                        self.post(What::Answers(n, process, number, grant));
+                    }
+                }
+                What::Answers(n, process, number, grant) => {
+                    let r = &mut self.routers[n];
+                    // To one that is stopped it comes late; to one that was started anew, not at all.
+                    if self.now < r.stopped_until {
+                        let at = r.stopped_until;
+                        self.sent += 1;
+                        self.wire.insert((at, self.sent), What::Answers(n, process, number, grant));
+                    } else if process == r.process && r.holder.granted(number, grant) {
+                        let newest = r.holder.newest();
+                        r.holder.acts_on(newest);
+                    }
+                }
+            }
+        }
+        if let Some((granter, rate)) = &mut self.leader {
+            let now = (self.now as f64 * *rate) as Micros;
+            if let Some(n) = granter.ready(now, &self.ledger) {
+                self.ledger.apply(Act::InForce { revision: n, at_s: 0 });
+                let at = self.at.get_mut(&n.0).unwrap();
+                at.1 = Some(self.now);
+                self.waits.push(self.now - at.0);
+            } else if self.ledger.announced.is_none() && self.chance.random_bool(0.01) {
+                let against = self.ledger.newest();
+                let token = against.0 + 1000;
+                let (who, why, values) = ("w".into(), "y".into(), Values::new());
+                self.ledger.apply(Act::Offer(Offer { token, against, who, why, at_s: 0, values }));
+                self.at.insert(against.0 + 1, (self.now, None));
+            }
+        }
+        for n in 0..self.routers.len() {
+            if self.chance.random_bool(0.0005) {
+                self.routers[n].stopped_until = self.now + self.chance.random_range(0..6 * SECOND);
+            }
+            if self.chance.random_bool(0.0005) {
+                let process = self.chance.random();
+                let r = &mut self.routers[n];
+                (r.holder, r.process) = (Holder::new(TERMS, process, n as u32), process);
+            }
+            let r = &mut self.routers[n];
+            let now = (self.now as f64 * r.rate) as Micros;
+            if self.now >= r.stopped_until && now >= r.ask_at {
+                let (number, asked) = r.holder.ask(now);
+                r.ask_at = now + r.holder.every();
+                self.post(What::Asks(n, number, asked));
+            }
+        }
+        self.check();
+    }
+
+    /// Every router that runs and holds a lease acts at this instant.
+    fn check(&mut self) {
+        for r in self.routers.iter().filter(|r| self.now >= r.stopped_until) {
+            let now = (self.now as f64 * r.rate) as Micros;
+            if r.holder.until().is_none_or(|until| now >= until) {
+                continue;
+            }
+            let (in_force, newest) = (r.holder.in_force().number.0, r.holder.newest().0);
+            for (revision, (announced, forced)) in self.at.iter().filter(|a| *a.0 > in_force) {
+                // Not even the stricter of both: it does not know of the later one.
+                if *revision > newest {
+                    let for_now = self.now - announced;
+                    self.longest = self.longest.max(for_now);
+                    assert!(
+                        for_now <= TERMS.longest_contradiction(),
+                        "{revision} is not known, acts on {newest}"
+                    );
+                    assert!(
+                        forced.is_none(),
+                        "{revision} is in force, and one acts that has not heard of it"
+                    );
+                }
+                // Where none is the stricter it acts on the earlier one, and others may on the later.
+                if let Some(forced) = forced {
+                    let for_now = self.now - forced;
+                    self.longest = self.longest.max(for_now);
+                    assert!(
+                        for_now <= TERMS.longest_contradiction(),
+                        "{revision} is in force, acts on {in_force}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn no_two_routers_contradict_each_other_for_longer_than_a_lease() {
+    let (mut revisions, mut longest, mut quick) = (0, 0, 0);
+    for seed in 0..60 {
+        let mut world = World::new(seed);
+        (0..30_000).for_each(|_| world.step());
+        revisions += world.waits.len();
+        longest = longest.max(world.longest);
+        quick += world.waits.iter().filter(|w| **w < TERMS.lease).count();
+    }
+    println!(
+        "{revisions} revisions in force, {quick} of them before a lease had passed; longest contradiction {longest} us"
+    );
+    // The days must come near the bound, and the way by acknowledgement must be taken.
+    assert!(revisions > 1000 && quick > 50, "{revisions} {quick}");
+    assert!(longest > TERMS.lease * 8 / 10, "{longest}");
+}
+
+#[test]
+fn an_offer_sent_twice_is_one_and_one_against_an_old_revision_is_refused() {
+    let mut ledger = Ledger::default();
+    let offer = |token, against| {
+        let (who, why, values) = ("w".to_string(), "y".to_string(), Values::new());
+        Act::Offer(Offer { token, against: RevisionNo(against), who, why, at_s: 0, values })
+    };
+    ledger.apply(offer(1, 0));
+    ledger.apply(offer(1, 0));
+    assert_eq!((ledger.verdict(1), ledger.history.len()), (Some(Verdict::Announced(RevisionNo(1))), 1));
+    ledger.apply(offer(2, 0));
+    assert_eq!(ledger.verdict(2), Some(Verdict::Stale { newest: RevisionNo(1) }));
+    ledger.apply(offer(3, 1));
+    assert_eq!(ledger.verdict(3), Some(Verdict::Busy { announced: RevisionNo(1) }));
+    // Put in force twice, by two leaders: the second changes nothing.
+    ledger.apply(Act::InForce { revision: RevisionNo(1), at_s: 5 });
+    ledger.apply(offer(4, 1));
+    ledger.apply(Act::InForce { revision: RevisionNo(1), at_s: 6 });
+    assert_eq!((ledger.in_force.number, ledger.newest()), (RevisionNo(1), RevisionNo(2)));
+    assert_eq!(Ledger::restore(&ledger.state()), Ok(ledger));
+}
+
+#[test]
+fn an_answer_gives_no_more_than_from_its_asking_and_takes_nothing_back() {
+    let (mut holder, mut ledger) = (Holder::new(TERMS, 1, 0), Ledger::default());
+    let mut granter = Granter::new(TERMS, 0);
+    let (first, asked) = holder.ask(0);
+    let early = granter.ask(0, &asked, &ledger);
+    let offer = Offer {
+        token: 1,
+        against: RevisionNo(0),
+        who: String::new(),
+        why: String::new(),
+        at_s: 0,
+        values: Values::new(),
+    };
+    ledger.apply(Act::Offer(offer));
+    let (second, asked) = holder.ask(SECOND);
+    let late = granter.ask(SECOND, &asked, &ledger);
+    assert!(holder.granted(second, late.clone()));
+    assert_eq!(holder.until(), Some(SECOND + TERMS.held()));
+    assert!(!holder.granted(first, early), "overtaken");
+    assert!(!holder.granted(second, late), "an answer counts once");
+    assert_eq!(holder.newest(), RevisionNo(1));
+}
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::state::{Command, Delivery, Hosts, OpRules, Pin};
+use crate::state::{Command, Delivery, Figures, Hosts, OpRules, Pin};
 use crate::*;
 type Out<'a> = &'a mut dyn Egress;
 const SECOND: Micros = 1_000_000;
@@ -81,6 +81,7 @@
     exposed: VecDeque<(Micros, usize, BuildId)>,
     news: Option<StageNews>,
     stage_began: Micros,
+    own_turn: Micros,
     lane_build: BuildId,
     lane: f64,
     spare: f64,
@@ -119,37 +120,7 @@
     ask_list_at: Option<Micros>,
     ask_pause: Micros,
     served: Vec<f64>,
-    // Derived at start.
-    shares: Vec<f64>,
-    fleet: f64,
-    delivery_cap: usize,
-    side_by_side: bool,
-    may_cancel: bool,
-    longest_return: Option<Micros>,
-    cold_from: f64,
-    warm_within: Micros,
-    fall_span: Micros,
-    cold_part: f64,
-    gate: Gate,
-    first_cap: f64,
-    stage_shares: Vec<f64>,
-    free: f64,
-    span: Micros,
-    by_op: bool,
-    guarded_stages: u8,
-    one_way: bool,
-    rolling: bool,
-    go_wait: Micros,
-    /// Commands a second of a router of mean traffic; how long the desk takes for all votes; the own turn.
-    even: f64,
-    vote_span: f64,
-    own_turn: Micros,
-    vote_life: Micros,
-    vote_wait: Micros,
-    /// Less than 1 where so few routers send a build back that the hastiest would decide for all.
-    few: f64,
-    complaint_weight: f64,
-    wrong_margin: f64,
+    fig: Figures,
 }
 
 impl Router {
@@ -158,18 +129,11 @@
         if terms.list_must_be_asked {
             out.watch_list();
         }
-        let quorum = terms.gate != Gate::Single && terms.back_votes > 0;
-        let fleet = f64::from(terms.fleet_size.max(1));
-        let few = if quorum { (f64::from(terms.back_votes) / fleet / 0.2).min(1.0) } else { 1.0 };
-        // Where a quorum decides, one report lets a router speak: false ones strike few at a time.
-        let alone = (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5);
-        let complaint_weight = if quorum { 1.3 * SEND_BACK_AT * few } else { alone };
         Router {
             now,
             ops: terms.ops.iter().map(OpRules::new).collect(),
             served: vec![0.0; terms.shares.len().max(1)],
             held: vec![VecDeque::new(); terms.shares.len().max(1)],
-            shares: if terms.shares.is_empty() { vec![1.0] } else { terms.shares.clone() },
             sums: vec![0.0; terms.ops.len() + 3],
             old_fails: vec![0.0; terms.ops.len()],
             by_share: vec![[0.0; 2]; terms.shares.len().max(1)],
@@ -178,38 +142,18 @@
             born: now,
             spare: SPARE_AT_MOST / 2.0,
             ask_list_at: terms.list_must_be_asked.then_some(now + 5 * SECOND),
-            fleet,
             own_index: terms.own_index,
-            delivery_cap: terms.delivery_cap.min(4) as usize,
-            side_by_side: terms.side_by_side,
-            may_cancel: terms.may_cancel,
-            rolling: terms.rolling,
-            longest_return: terms.may_name_return.then_some(terms.longest_return),
-            cold_from: terms.cold_from.clamp(0.05, 1.0),
-            warm_within: terms.warm_within.max(1),
-            fall_span: terms.fall_span.max(1),
-            cold_part: COLD_PART * terms.fall_multiple * terms.fall_span as f64 / SECOND as f64,
-            gate: terms.gate,
-            first_cap: terms.stage_caps.first().copied().unwrap_or(0.0),
-            stage_shares: terms.stage_shares.clone(),
-            free: terms.exposure_free,
-            span: terms.exposure_span,
-            by_op: terms.exposure_by_op,
-            guarded_stages: terms.guarded_stages,
-            one_way: terms.forward_only,
-            // The desk's clock starts about a second after the machines run; a vote before that stands idle.
-            go_wait: terms.stage_bake + SECOND,
-            even: terms.shares.iter().copied().reduce(|a, b| a + b).unwrap_or(f64::INFINITY) / fleet,
-            vote_span: 2.0 * fleet / terms.votes_a_second * SECOND as f64,
-            vote_life: terms.vote_life,
-            vote_wait: terms.vote_wait,
-            few,
-            complaint_weight,
-            wrong_margin: WRONG_MARGIN * if quorum { 2.0 } else { 1.0 },
+            fig: figures(terms),
             ..Router::default()
         }
     }
 
+    /// Goes by other terms from the next call on. What was counted, sent and pinned stays: no window begins
+    /// anew. The op types, windows and one-way rules have to be the same as before, and as many customers.
+    pub fn go_by(&mut self, terms: &ServiceTerms) {
+        self.fig = figures(terms);
+    }
+
     /// Sets the time for the calls that follow.
     pub fn at(&mut self, now: Micros) -> &mut Self {
         self.now = now;
@@ -263,7 +207,7 @@
             self.stage_began = self.now - news.age;
             (self.seen_in_stage, self.counted_in_stage) = (0, 0.0);
             (self.vote, self.vote_again_at) = (None, self.now);
-            self.own_turn = (self.chance.share() * self.vote_span) as Micros;
+            self.own_turn = (self.chance.share() * self.fig.vote_span) as Micros;
         }
         if self.sent_back(news.build) {
             // A send-back returns keys to the earlier build and opens the way that one-way rules closed.
@@ -278,7 +222,7 @@
     pub fn vote_answered(&mut self, answer: VoteAnswer) {
         self.vote_out = false;
         if answer == VoteAnswer::Counted {
-            (self.vote_again_at, self.vote_stands_until) = (self.now, self.now + self.vote_life * 7 / 10);
+            (self.vote_again_at, self.vote_stands_until) = (self.now, self.now + self.fig.vote_life * 7 / 10);
         } else {
             let pause = if answer == VoteAnswer::Moot { SECOND } else { 200 * MS };
             (self.vote_again_at, self.vote) = (self.now + pause + self.chance.below(200_000) as Micros, None);
@@ -293,7 +237,7 @@
     }
 
     fn cap(&self, build: BuildId) -> f64 {
-        self.news.filter(|n| n.build == build).map_or(self.first_cap, |n| n.cap)
+        self.news.filter(|n| n.build == build).map_or(self.fig.first_cap, |n| n.cap)
     }
 
     fn sent_back(&self, build: BuildId) -> bool {
@@ -303,7 +247,7 @@
 
     /// Whether one-way rules hold keys at this build: the newest that was told, or one after it.
     fn binds(&self, build: BuildId) -> bool {
-        self.one_way && self.news.is_none_or(|n| build >= n.build) && !self.sent_back(build)
+        self.fig.one_way && self.news.is_none_or(|n| build >= n.build) && !self.sent_back(build)
     }
 
     // ---- Intake ----
@@ -314,11 +258,11 @@
             return out.nack(cmd, None);
         }
         self.flow[0] += 1.0;
-        self.taken.push_back((self.now, op * usize::from(self.by_op)));
+        self.taken.push_back((self.now, op * usize::from(self.fig.by_op)));
         self.spare = (self.spare + SPARE_PER_COMMAND).min(SPARE_AT_MOST);
         let place = unit(if key.0 == 0 { u64::from(cmd.0) | 1 << 40 } else { key.0 });
         let (taken, until, deliveries) = (self.now, self.now + left, Vec::new());
-        let share = (share.0 as usize).min(self.shares.len() - 1);
+        let share = (share.0 as usize).min(self.fig.shares.len() - 1);
         let command = Command { op, key, share, place, taken, until, ended: false, deliveries };
         self.cmds.insert(cmd, command);
         if self.chance.share() > (-self.strain(op)).exp() {
@@ -344,7 +288,7 @@
     fn route(&mut self, cmd: CommandId, out: Out) -> bool {
         let Some(c) = self.cmds.get(&cmd).filter(|c| !c.ended) else { return false };
         let (key, op) = (c.key, c.op);
-        let pin = self.pins.get(&key).filter(|_| self.one_way && key.0 != 0);
+        let pin = self.pins.get(&key).filter(|_| self.fig.one_way && key.0 != 0);
         let last = pin.and_then(|p| p.answered_by.max(p.claimed_by));
         let floor = last.max(self.all_bound.filter(|_| key.0 != 0)).filter(|b| self.binds(*b));
         let mut full = false;
@@ -377,7 +321,7 @@
     /// Those that wait go by what their customer has had of its share: the ones far beyond it wait in vain.
     /// Ends where the hosts are full, so that many which wait cost no more with each that comes or goes.
     fn place_held(&mut self, out: Out) {
-        let had = |s: &usize| self.served[*s] / self.shares[*s];
+        let had = |s: &usize| self.served[*s] / self.fig.shares[*s];
         let mut order: Vec<usize> = (0..self.held.len()).filter(|s| !self.held[*s].is_empty()).collect();
         order.sort_by(|a, b| had(a).total_cmp(&had(b)));
         for s in order {
@@ -429,7 +373,7 @@
         let exposed = self.exposed.iter().filter(|e| e.2 == new).count() as f64;
         let bears = self.trial_share(new, old) * self.taken.len().max(1) as f64;
         let pin = self.pins.get(&c.key).filter(|p| c.key.0 != 0 && self.now - p.used < PIN_IDLE);
-        let ahead = if pin.is_none() && self.rolling { AHEAD } else { 1.0 };
+        let ahead = if pin.is_none() && self.fig.rolling { AHEAD } else { 1.0 };
         let takes_new = pin.is_some_and(|p| p.build == new) || c.place < self.lane && ahead * bears > exposed;
         [if takes_new { trial } else { stable }, stable.filter(|_| takes_new)]
     }
@@ -443,7 +387,7 @@
     /// What part of the present capacity runs the build on trial, cold hosts counted by what they can do.
     fn trial_share(&self, new: BuildId, old: BuildId) -> f64 {
         // Side by side, each trial host bears what each earlier one did before the trial.
-        let bears = |h: &usize| self.hosts.build[*h] == old || self.rolling && self.hosts.build[*h] > old;
+        let bears = |h: &usize| self.hosts.build[*h] == old || self.fig.rolling && self.hosts.build[*h] > old;
         let able = |h: usize| self.warmth(h) * self.hosts.line[h].size;
         let all: f64 = self.ready().filter(bears).map(able).sum();
         (self.ready_with(new).map(able).sum::<f64>() / all.max(1e-9)).min(1.0)
@@ -451,8 +395,8 @@
 
     /// The least part of its capacity that a host can have by now.
     fn warmth(&self, h: usize) -> f64 {
-        let age = self.age(h).min(self.warm_within) as f64 / self.warm_within as f64;
-        self.cold_from + (1.0 - self.cold_from) * age
+        let age = self.age(h).min(self.fig.warm_within) as f64 / self.fig.warm_within as f64;
+        self.fig.cold_from + (1.0 - self.fig.cold_from) * age
     }
 
     /// The lane grows towards its part of the cap, as far as the trial machines listed ready bear it, and
@@ -465,7 +409,7 @@
         let cap = self.cap(new).max(0.0);
         let share = stable.map_or(1.0, |old| self.trial_share(new, old));
         let follow = share.min(if cap < 1.0 { REPIN_OF_CAP * cap } else { 1.0 });
-        let ahead = if self.rolling { AHEAD } else { 1.0 };
+        let ahead = if self.fig.rolling { AHEAD } else { 1.0 };
         let aim = (LANE_OF_CAP * cap).min(ahead * share).max(follow);
         self.lane = self.lane.max(aim.min(self.lane + spent * aim.max(0.02))).min(cap);
     }
@@ -476,18 +420,18 @@
         }
         let cap = self.cap(build);
         let stage = self.news.filter(|n| n.build == build).map_or(0, |n| n.stage);
-        if cap <= 0.0 || (stage < self.guarded_stages && self.ops[op].repeat != Repeat::Redeliverable) {
+        if cap <= 0.0 || (stage < self.fig.guarded_stages && self.ops[op].repeat != Repeat::Redeliverable) {
             return false;
         }
         self.forget_window();
-        let slot = op * usize::from(self.by_op);
+        let slot = op * usize::from(self.fig.by_op);
         let taken = self.taken.iter().filter(|t| t.1 == slot).count() as f64;
         let sent = self.exposed.iter().filter(|t| t.1 == slot && t.2 == build).count() as f64;
-        sent + 1.0 <= self.free + cap * taken
+        sent + 1.0 <= self.fig.free + cap * taken
     }
 
     fn forget_window(&mut self) {
-        let from = self.now - self.span;
+        let from = self.now - self.fig.span;
         self.taken.drain(..self.taken.partition_point(|t| t.0 <= from));
         self.exposed.drain(..self.exposed.partition_point(|t| t.0 < from));
     }
@@ -566,7 +510,7 @@
     /// Guards against a new connection for nearly every command: a router with little traffic keeps to a few
     /// hosts, its own by hash. Answers how much more of the traffic those get for that.
     fn keep_own(&self, hosts: &mut Vec<usize>) -> f64 {
-        let (met, sent) = (MET_BY / self.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
+        let (met, sent) = (MET_BY / self.fig.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
         let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
         if own >= hosts.len() {
             return 1.0;
@@ -579,7 +523,7 @@
     /// Guards against piling up: no more is out than lately came back within a part of the service target. It
     /// could harm where answers return after a gap. An op type that waits everywhere is counted by itself.
     fn crowded(&self, op: usize) -> bool {
-        let base = 2.0 + 2.0 * self.ready().count() as f64 / self.fleet;
+        let base = 2.0 + 2.0 * self.ready().count() as f64 / self.fig.fleet;
         let wait = self.detour(1, op);
         let alike = |o: &usize| if wait > 0.0 { *o == op } else { self.detour(1, *o) == 0.0 };
         let (mut out, mut returns) = (0, 0.0);
@@ -602,11 +546,11 @@
     /// fast. One that has failed gets one command at a time.
     fn may_take(&self, h: usize, of_own: f64) -> bool {
         let (host, age) = (self.hosts.line[h].host.0, self.age(h));
-        if age < self.warm_within + SECOND {
-            let (slot, begun) = (age / self.fall_span, self.now - age);
+        if age < self.fig.warm_within + SECOND {
+            let (slot, begun) = (age / self.fig.fall_span, self.now - age);
             let sent = self.hosts.sent[h] * u32::from(self.hosts.slot[h] == slot);
             // The first span is met by no other before it.
-            let part = self.cold_part * self.warmth(h) * self.pace * of_own / (1 + slot.min(1)) as f64;
+            let part = self.fig.cold_part * self.warmth(h) * self.pace * of_own / (1 + slot.min(1)) as f64;
             let drawn = unit(u64::from(host) << 32 ^ u64::from(self.own_index) << 12 ^ (begun + slot) as u64);
             if f64::from(sent + 1) > part + drawn || self.hosts.in_flight[h] > 1 + self.hosts.answers[h] {
                 return false;
@@ -621,9 +565,9 @@
 
     fn dispatch(&mut self, cmd: CommandId, host: usize, out: Out) {
         let (build, sent) = (self.hosts.build[host], self.now);
-        let (on_trial, slot) = (self.on_trial(build), self.age(host) / self.fall_span);
+        let (on_trial, slot) = (self.on_trial(build), self.age(host) / self.fig.fall_span);
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
-        self.exposed.extend(on_trial.then_some((sent, c.op * usize::from(self.by_op), build)));
+        self.exposed.extend(on_trial.then_some((sent, c.op * usize::from(self.fig.by_op), build)));
         c.deliveries.push(Delivery { host, build, sent, open: true, may_have_run: true, started: false });
         let pin = self.pins.entry(c.key).or_default();
         pin.claims *= u32::from(pin.claimed_by >= Some(build));
@@ -651,9 +595,9 @@
         };
         let due: Vec<CommandId> = self.cmds.iter().filter(|(_, c)| due(c)).map(|(id, _)| *id).collect();
         for cmd in due.into_iter().take(self.spare as usize) {
-            if self.side_by_side {
+            if self.fig.side_by_side {
                 self.spare -= f64::from(u8::from(self.route(cmd, out)));
-            } else if self.may_cancel {
+            } else if self.fig.may_cancel {
                 out.cancel(cmd, self.cmds[&cmd].deliveries.len() as u8 - 1);
             }
         }
@@ -725,7 +669,7 @@
             Repeat::Deduplicated => !ran || self.now + BEAT < c.deliveries[0].sent + rules.memory,
             Repeat::AtMostOnce => !ran,
         };
-        allowed && c.deliveries.len() < self.delivery_cap
+        allowed && c.deliveries.len() < self.fig.delivery_cap
     }
 
     /// The final answer where nothing more can be done: a nack wherever trying again is harmless.
@@ -736,7 +680,7 @@
         let never_ran = c.deliveries.iter().all(|d| !d.may_have_run);
         if never_ran || any_drops || rules.repeat == Repeat::Redeliverable {
             let come_back = rules.target / 4.0 * (1.0 + self.chance.share());
-            out.nack(cmd, self.longest_return.map(|most| most.min(come_back as Micros)));
+            out.nack(cmd, self.fig.longest_return.map(|most| most.min(come_back as Micros)));
         } else {
             out.fail(cmd);
         }
@@ -746,7 +690,7 @@
     /// Ends a command that is answered, or that its client has left.
     pub fn end(&mut self, cmd: CommandId, out: Out) {
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
-        let open = |d: &Delivery| self.may_cancel && !c.ended && d.open && !d.started;
+        let open = |d: &Delivery| self.fig.may_cancel && !c.ended && d.open && !d.started;
         let open = c.deliveries.iter().enumerate().filter(|(_, d)| open(d));
         open.for_each(|(n, _)| out.cancel(cmd, n as u8));
         c.ended = true;
@@ -843,7 +787,7 @@
         // A mean of few answers may be off by chance; of many, one is very unlucky and speaks for all.
         let (rests_on, usual) = (f64::from(self.ops[op].usual_seen), self.ops[op].usual);
         let known = rests_on >= 5.0;
-        let luck = if self.fleet > MET_BY { (2.0 * self.fleet.ln()).sqrt() } else { 1.0 };
+        let luck = if self.fig.fleet > MET_BY { (2.0 * self.fig.fleet.ln()).sqrt() } else { 1.0 };
         let unsure = (luck / rests_on.sqrt() - 0.25).max(0.0);
         let slower = if acked { (time - usual - unsure).clamp(-2.0, 2.0) } else { 2.0 * (1.0 - failed) };
         let late = if known { slower } else { 0.0 };
@@ -859,16 +803,16 @@
             self.seen += 1;
             self.seen_in_stage += 1;
             let wrong = &mut self.sums[self.ops.len() + 1];
-            *wrong = (*wrong - self.wrong_margin).max(0.0);
+            *wrong = (*wrong - self.fig.wrong_margin).max(0.0);
             let usual = self.old_fails[op].max(self.ops[op].counted_lost * self.blamed());
             // Where much fails anyway, a failure more says less.
             let gain = (failed - usual) * NOISE / (NOISE + usual) - FAIL_MARGIN;
             // Of thin traffic each failure says more: chance brings few of them together.
-            self.add(h, op, gain * self.proof(share) * (self.fleet / MET_BY).clamp(1.0, 1.5));
+            self.add(h, op, gain * self.proof(share) * (self.fig.fleet / MET_BY).clamp(1.0, 1.5));
             if known {
                 let excused = self.old_lag.max(self.by_load());
                 let gain = LATE_WEIGHT * (late - excused - LATE_MARGIN);
-                self.add(h, self.ops.len(), gain.min(self.few * gain));
+                self.add(h, self.ops.len(), gain.min(self.fig.few * gain));
             }
             return;
         }
@@ -896,7 +840,7 @@
     /// for slowness always: each brings its part. It could harm where a build fails rarely on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
         let peers = self.ready_with(self.hosts.build[h]).count();
-        let large = self.fleet > MET_BY;
+        let large = self.fig.fleet > MET_BY;
         let heard = |h: &usize| !large || self.hosts.answers[*h] > 0 || self.hosts.blame[*h] > 0.0;
         let heard = self.ready_with(self.hosts.build[h]).filter(heard).count();
         let voices = [0.5, 0.5, 1.5].get(peers).copied();
@@ -931,7 +875,7 @@
         let slower = asked.min(1.0).max(answered).max(lost).clamp(0.0, 1.5);
         // A fleet that sheds and yet answers as much as before is full: that is load, whatever was asked. One
         // that has just turned over was cold, and has the queue of that time to work off.
-        let young = self.ready().filter(|&h| self.age(h) < 3 * self.warm_within).count();
+        let young = self.ready().filter(|&h| self.age(h) < 3 * self.fig.warm_within).count();
         let full = self.flow[2] > 0.05 * self.flow[0] && now[1] > 0.95 * usual[1];
         [slower * f64::from(u8::from(usual[1] > 0.0)), 1.5]
             [usize::from(full || 2 * young > self.ready().count())]
@@ -945,7 +889,7 @@
             // One of many routers sees by its own traffic only a part of what loads the hosts.
             let gain = LATE_WEIGHT * (late.min(1.5) - self.by_load() - LATE_MARGIN);
             let sum = self.sums.last_mut().expect("made at start");
-            *sum = (*sum + gain.min(self.few.min(MET_BY / self.fleet) * gain)).max(0.0);
+            *sum = (*sum + gain.min(self.fig.few.min(MET_BY / self.fig.fleet) * gain)).max(0.0);
         }
     }
 
@@ -1007,7 +951,7 @@
         let build = self.hosts.build[h];
         let before = self.hosts.line[h].started.is_some_and(|at| self.now - since < at);
         if !before && self.news.is_some_and(|n| build >= n.build) && !self.sent_back(build) {
-            self.sums[self.ops.len() + 1] += self.complaint_weight;
+            self.sums[self.ops.len() + 1] += self.fig.complaint_weight;
         }
     }
 
@@ -1019,30 +963,31 @@
         if f64::from(self.seen) + self.counted_in_stage >= f64::from(ENOUGH_ANSWERS) && self.sum() >= proof {
             return Some((news.build, news.stage, Verdict::Back));
         }
-        if !on_trial || self.gate == Gate::Clocked {
+        if !on_trial || self.fig.gate == Gate::Clocked {
             return (on_trial && self.sum() > HOLD_AT).then_some((news.build, news.stage, Verdict::Hold));
         }
         let started = || self.ready_with(news.build).map(|h| self.hosts.line[h].started.unwrap_or(0));
         let (count, latest) = (started().count(), started().max().unwrap_or(0));
-        let share = self.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
-        let earlier = |h: &usize| self.rolling || self.hosts.build[*h] < news.build;
+        let share = self.fig.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
+        let earlier = |h: &usize| self.fig.rolling || self.hosts.build[*h] < news.build;
         let all = count > 0 && count as f64 >= (share * self.ready().filter(earlier).count() as f64).floor();
         let unlisted = Micros::from(!all && latest <= self.stage_began);
         let waited = self.now - latest.max(self.stage_began) - unlisted * 8 * SECOND;
         // Where one vote is enough, the fleet has seen many times what a quiet router has; but the one that
         // speaks against a build has to see enough of it alone, the more so the more hosts follow.
-        let more = self.stage_shares.get(usize::from(news.stage) + 1).map_or(0.0, |next| next - share);
-        let (alike, more) = if self.gate == Gate::Majority { (1, 0.0) } else { (self.fleet as u32, more) };
+        let more = self.fig.stage_shares.get(usize::from(news.stage) + 1).map_or(0.0, |next| next - share);
+        let (alike, more) =
+            if self.fig.gate == Gate::Majority { (1, 0.0) } else { (self.fig.fleet as u32, more) };
         let enough = (ENOUGH_ANSWERS * ENOUGH_ANSWERS / alike).clamp(1, ENOUGH_ANSWERS);
         let known = self.seen_in_stage >= enough || self.counted_in_stage >= f64::from(3 * enough);
-        let met = self.even * share * waited as f64 / SECOND as f64;
+        let met = self.fig.even * share * waited as f64 / SECOND as f64;
         // A release takes twice the proof to undo and may wait: all hosts run the build by then.
-        let last = usize::from(news.stage) + 1 >= self.stage_shares.len();
-        let waits = last && self.gate == Gate::Single && self.fleet > MET_BY || met < CONVICTS * more;
+        let last = usize::from(news.stage) + 1 >= self.fig.stage_shares.len();
+        let waits = last && self.fig.gate == Gate::Single && self.fig.fleet > MET_BY || met < CONVICTS * more;
         let pauses = if known && !waits { 1 } else { 3 };
         // Side by side a stage is cheaply taken back and a release is not: its vote waits for all traffic.
-        let beside = !self.rolling && (!last || all && waited >= 4 * self.go_wait);
-        let due = beside || self.rolling && waited >= pauses * self.go_wait + self.own_turn;
+        let beside = !self.fig.rolling && (!last || all && waited >= 4 * self.fig.go_wait);
+        let due = beside || self.fig.rolling && waited >= pauses * self.fig.go_wait + self.own_turn;
         let go = self.sum() < QUIET_BELOW && due;
         go.then_some((news.build, news.stage, Verdict::On))
     }
@@ -1061,8 +1006,8 @@
         if let Some((build, stage, verdict)) = want.or(doubted.map(|v| (v.0, v.1, Verdict::None))) {
             out.vote(build, stage, verdict);
             (self.vote, self.vote_out) = (want, true);
-            self.vote_again_at = self.now + self.vote_wait + SECOND / 2;
-            self.vote_stands_until = self.now + self.vote_wait;
+            self.vote_again_at = self.now + self.fig.vote_wait + SECOND / 2;
+            self.vote_stands_until = self.now + self.fig.vote_wait;
         }
     }
 
@@ -1086,7 +1031,7 @@
         // count, the dead's while they lived, over the time in which a whole host may answer one router once.
         let whole: f64 = self.ready().map(|h| self.warmth(h)).sum();
         self.lived = self.lived * fade.powf(0.25) + whole * (self.now - self.beaten) as f64 / SECOND as f64;
-        let once = self.fleet * self.ops.iter().map(|o| o.target).fold(0.0, f64::max) / SECOND as f64;
+        let once = self.fig.fleet * self.ops.iter().map(|o| o.target).fold(0.0, f64::max) / SECOND as f64;
         let young = u8::from(self.now < self.born + 5 * SECOND);
         let pace = self.flow[1].max(young.into()) / self.lived.max(once);
         // A fleet that answers little for a while can still do what it did.
@@ -1107,13 +1052,54 @@
         if self.now - self.swept >= SECOND / 2 {
             self.swept = self.now;
             // Earlier builds bind no key, and once one is released all keys are taken for answered by it.
-            let from = self.news.map(|n| n.build.0 + u16::from(n.standing == Standing::Released));
-            let kept = |p: &Pin| self.one_way && p.answered_by.is_some_and(|b| Some(b.0) >= from);
+            let from = self.news.map(|n| n.build.0.saturating_add((n.standing == Standing::Released).into()));
+            // A delivery may stay out for longer than a pin without use: its answer binds the key as well.
+            let kept = |p: &Pin| p.claims > 0 || p.answered_by.is_some_and(|b| Some(b.0) >= from);
             self.pins.retain(|_, p| {
-                let stays = self.now - p.used < PIN_IDLE || kept(p);
+                let stays = self.now - p.used < PIN_IDLE || self.fig.one_way && kept(p);
                 self.all_bound = self.all_bound.max(p.answered_by.filter(|_| !stays));
                 stays
             });
         }
     }
 }
+
+/// What decisions use of the told terms.
+fn figures(terms: &ServiceTerms) -> Figures {
+    let quorum = terms.gate != Gate::Single && terms.back_votes > 0;
+    let fleet = f64::from(terms.fleet_size.max(1));
+    let few = if quorum { (f64::from(terms.back_votes) / fleet / 0.2).min(1.0) } else { 1.0 };
+    // Where a quorum decides, one report lets a router speak: false ones strike few at a time.
+    let alone = (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5);
+    let complaint_weight = if quorum { 1.3 * SEND_BACK_AT * few } else { alone };
+    Figures {
+        shares: if terms.shares.is_empty() { vec![1.0] } else { terms.shares.clone() },
+        fleet,
+        delivery_cap: terms.delivery_cap.min(4) as usize,
+        side_by_side: terms.side_by_side,
+        may_cancel: terms.may_cancel,
+        rolling: terms.rolling,
+        longest_return: terms.may_name_return.then_some(terms.longest_return),
+        cold_from: terms.cold_from.clamp(0.05, 1.0),
+        warm_within: terms.warm_within.max(1),
+        fall_span: terms.fall_span.max(1),
+        cold_part: COLD_PART * terms.fall_multiple * terms.fall_span as f64 / SECOND as f64,
+        gate: terms.gate,
+        first_cap: terms.stage_caps.first().copied().unwrap_or(0.0),
+        stage_shares: terms.stage_shares.clone(),
+        free: terms.exposure_free,
+        span: terms.exposure_span,
+        by_op: terms.exposure_by_op,
+        guarded_stages: terms.guarded_stages,
+        one_way: terms.forward_only,
+        // The desk's clock starts about a second after the machines run; a vote before that stands idle.
+        go_wait: terms.stage_bake + SECOND,
+        even: terms.shares.iter().copied().reduce(|a, b| a + b).unwrap_or(f64::INFINITY) / fleet,
+        vote_span: 2.0 * fleet / terms.votes_a_second * SECOND as f64,
+        vote_life: terms.vote_life,
+        vote_wait: terms.vote_wait,
+        few,
+        complaint_weight,
+        wrong_margin: WRONG_MARGIN * if quorum { 2.0 } else { 1.0 },
+    }
+}
--- a/crates/spokeflow-core/src/state.rs
+++ b/crates/spokeflow-core/src/state.rs
@@ -1,6 +1,6 @@
 //! What the router keeps in mind, without judgement: figures about op types, commands, keys and hosts.
 
-use crate::{BuildId, HostLine, Key, Micros, OpTerms, Repeat, RepeatScope};
+use crate::{BuildId, Gate, HostLine, Key, Micros, OpTerms, Repeat, RepeatScope};
 
 pub struct OpRules {
     pub repeat: Repeat,
@@ -129,3 +129,37 @@
         self.line[h] = *line;
     }
 }
+
+/// The told terms as decisions use them.
+#[derive(Default)]
+pub struct Figures {
+    pub shares: Vec<f64>,
+    pub fleet: f64,
+    pub delivery_cap: usize,
+    pub side_by_side: bool,
+    pub may_cancel: bool,
+    pub longest_return: Option<Micros>,
+    pub cold_from: f64,
+    pub warm_within: Micros,
+    pub fall_span: Micros,
+    pub cold_part: f64,
+    pub gate: Gate,
+    pub first_cap: f64,
+    pub stage_shares: Vec<f64>,
+    pub free: f64,
+    pub span: Micros,
+    pub by_op: bool,
+    pub guarded_stages: u8,
+    pub one_way: bool,
+    pub rolling: bool,
+    pub go_wait: Micros,
+    /// Commands a second of a router of mean traffic; how long the desk takes for all votes.
+    pub even: f64,
+    pub vote_span: f64,
+    pub vote_life: Micros,
+    pub vote_wait: Micros,
+    /// Less than 1 where so few routers send a build back that the hastiest would decide for all.
+    pub few: f64,
+    pub complaint_weight: f64,
+    pub wrong_margin: f64,
+}
--- a/crates/spokeflow-core/tests/plain.rs
+++ b/crates/spokeflow-core/tests/plain.rs
@@ -801,3 +801,43 @@
     let at_old = |id| ledger.owed[&CommandId(id)].sent.iter().filter(|s| s.host.0 > 3).count();
     assert_eq!((at_old(90_001), at_old(90_003)), (0, 0), "the second delivery of the key is still out");
 }
+
+/// Seen on review: a pin without use was swept after ten seconds though a delivery of its key was out; its answer then
+/// bound a key that had been sent back to the old build meanwhile.
+#[test]
+fn a_key_stays_while_a_delivery_of_it_is_out_for_long() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |t| {
+        t.exposure_free = 9.0;
+        t.ops[2].command_timeout = 60 * SECOND;
+    });
+    ledger.tell(&mut router, news(NEW, 2, Standing::OnTrial, 1.0));
+    let all = [line(1, NEW), line(2, NEW), line(3, NEW)];
+    ledger.list(&mut router, ListKind::Whole, &all);
+    ledger.command(&mut router, 90_001, 2, 5, 60 * SECOND);
+    let mut old = all.to_vec();
+    old.extend((4..9).map(|h| line(h, OLD)));
+    ledger.list(&mut router, ListKind::Whole, &old);
+    ledger.tell(&mut router, news(NEW, 2, Standing::OnTrial, 0.01));
+    ledger.pass(&mut router, 15 * SECOND);
+    ledger.command(&mut router, 90_002, 0, 5, 1900 * MS);
+    ledger.pass(&mut router, 300 * MS);
+    let at_old = ledger.owed[&CommandId(90_002)].sent.iter().filter(|s| s.host.0 > 3).count();
+    assert_eq!(at_old, 0, "the first delivery of the key is still out at the trial build");
+}
+
+/// Terms that change in the middle of a window: what was counted under the earlier ones counts on.
+#[test]
+fn a_cap_lowered_by_agreed_terms_counts_what_the_window_holds() {
+    let (mut router, mut ledger) = fleet(Gate::Single, |_| {});
+    serve(&mut router, &mut ledger, 8 * SECOND, |_, _, _| GOOD);
+    let (mut lower, before) = (terms(Gate::Single), at_new(&ledger, SECOND));
+    (lower.stage_caps, lower.exposure_free) = (vec![0.05; 3], 0.0);
+    router.go_by(&lower);
+    // From here on the ledger counts each delivery against the new terms, over the whole window.
+    ledger.terms = lower;
+    ledger.tell(&mut router, news(NEW, 1, Standing::OnTrial, 0.05));
+    serve(&mut router, &mut ledger, SECOND, |_, _, _| GOOD);
+    assert!(before > 0.1 && at_new(&ledger, SECOND) == 0.0, "{before} {}", at_new(&ledger, SECOND));
+    serve(&mut router, &mut ledger, 10 * SECOND, |_, _, _| GOOD);
+    assert!(at_new(&ledger, 4 * SECOND) > 0.0, "within the cap it goes on");
+}
--- a/crates/spokeflow-engine/src/book.rs
+++ b/crates/spokeflow-engine/src/book.rs
@@ -71,6 +71,9 @@
     pub vote_wait: Micros,
     pub born: Micros,
     pub counts: Counts,
+    /// Where keepers are followed and the desk has spoken: the earliest build that is not free for all, and until
+    /// when anything may leave for it.
+    pub trial_until: Option<(BuildId, Micros)>,
 }
 
 impl Book {
@@ -157,7 +160,10 @@
             left_us: (until - book.now) as u64,
             body: owed.body.clone(),
         };
-        if !self.links.to_host(host, message, until) {
+        // What waits while this process is stopped must not leave under a lease that has run out meanwhile.
+        let build = || book.places.get(&host).map_or(BuildId::default(), Place::build);
+        let leave_by = book.trial_until.filter(|t| build() >= t.0).map_or(until, |t| t.1.min(until));
+        if !self.links.to_host(host, message, leave_by) {
             // A queue that is full here is one that the host does not read: the same as its own being full.
             book.ends.push_back((delivery, DeliveryEnd::Full));
         }
--- a/crates/spokeflow-engine/src/engine.rs
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeSet;
 
+use spokeflow_agreed::AgreedTerms;
 use spokeflow_core::{
     BuildId, CommandId, DeliveryEnd, DeskCount, HostId, HostLine, HostPhase, Key, ListKind, Micros, OpType,
     Router, ServiceTerms, ShareId, StageNews, Standing, VoteAnswer, ZoneId,
@@ -41,10 +42,21 @@
     pub over_held: u64,
 }
 
+/// What the keepers have granted last.
+struct Agreed {
+    until: Micros,
+    terms: AgreedTerms,
+    leased: bool,
+}
+
 pub struct Engine {
     router: Router,
     book: Book,
     terms: EngineTerms,
+    /// `None` where no keepers are followed: then the terms are those of the start for good.
+    agreed: Option<Agreed>,
+    /// The desk's latest news as it came, and when.
+    news: Option<(News, Micros)>,
     closing: bool,
 }
 
@@ -53,7 +65,7 @@
     pub fn new(terms: EngineTerms, seed: u64, now: Micros, links: &mut dyn Links) -> Self {
         let mut book = Book { now, born: now, vote_wait: terms.service.vote_wait.max(1), ..Book::default() };
         let router = Router::new(&terms.service, seed, now, &mut Carrier { book: &mut book, links });
-        let mut engine = Engine { router, book, terms, closing: false };
+        let mut engine = Engine { router, book, terms, agreed: None, news: None, closing: false };
         engine.settle(links);
         engine
     }
@@ -85,6 +97,7 @@
             book.due.first().map(|d| d.0),
             book.owed_by.first().map(|d| d.0),
             book.ballot.map(|b| b.1),
+            self.agreed.as_ref().filter(|a| a.leased).map(|a| a.until),
         ];
         due.into_iter().flatten().min().unwrap_or(Micros::MAX)
     }
@@ -92,6 +105,10 @@
     /// Takes in one thing that has happened at `now`.
     pub fn take(&mut self, now: Micros, input: Input, links: &mut dyn Links) {
         self.at(now);
+        // Asked before each act, not by a timer: this process may have been stopped.
+        if self.agreed.as_ref().is_some_and(|a| a.leased && self.book.now >= a.until) {
+            self.go_by_agreed(links);
+        }
         match input {
             Input::Command { conn, command } => self.command(conn, command, links),
             Input::Leave { conn, id } => {
@@ -129,7 +146,8 @@
             Input::Remembered(lines) => self.list(ListKind::Remembered, &lines, links),
             Input::ListGone => self.list_failed(),
             Input::FromDesk(FromDesk::News(news)) => {
-                self.router.told(stage_news(news), &mut Carrier { book: &mut self.book, links });
+                self.news = Some((news, self.book.now));
+                self.tell_news(links);
             }
             Input::FromDesk(FromDesk::Voted { ballot, result }) => {
                 // The answer to a vote that has been given up says nothing of the present one.
@@ -159,6 +177,16 @@
             }
             // The module makes no use of what other routers say.
             Input::Told { .. } => {}
+            Input::Agreed { until, terms } => match &mut self.agreed {
+                Some(agreed) if agreed.leased && until > self.book.now && agreed.terms == *terms => {
+                    agreed.until = until;
+                    self.book.trial_until = self.book.trial_until.map(|t| (t.0, until));
+                }
+                _ => {
+                    self.agreed = Some(Agreed { until, terms: *terms, leased: false });
+                    self.go_by_agreed(links);
+                }
+            },
             Input::Close => self.closing = true,
             Input::Wake => self.wake(links),
         }
@@ -175,6 +203,39 @@
         self.router.at(self.book.now);
     }
 
+    // ---- What keepers have granted ----
+
+    /// One step between two commands: none sees parts of two revisions. Without a lease only what contradicts no
+    /// later revision is done.
+    fn go_by_agreed(&mut self, links: &mut dyn Links) {
+        let Some(agreed) = &mut self.agreed else { return };
+        agreed.leased = self.book.now < agreed.until;
+        let terms = match agreed.leased {
+            true => agreed.terms.clone(),
+            false => agreed.terms.standing_build_only(),
+        };
+        links.drain_grace(terms.drain_grace);
+        terms.put_into(&mut self.terms.service);
+        self.router.go_by(&self.terms.service);
+        self.tell_news(links);
+    }
+
+    /// The desk's news as the module may know it: no cap is higher than agreed for its stage.
+    fn tell_news(&mut self, links: &mut dyn Links) {
+        let Some((mut news, at)) = self.news else { return };
+        news.age_us += (self.book.now - at) as u64;
+        if let Some(agreed) = &self.agreed {
+            let ceiling = self.terms.service.stage_caps.get(usize::from(news.stage)).copied().unwrap_or(0.0);
+            let released = news.standing == NewsStanding::Released;
+            if !released {
+                news.cap = news.cap.min(ceiling as f32);
+            }
+            let from = BuildId(news.build.saturating_add(released.into()));
+            self.book.trial_until = Some((from, agreed.until));
+        }
+        self.router.told(stage_news(news), &mut Carrier { book: &mut self.book, links });
+    }
+
     // ---- Clients ----
 
     fn command(&mut self, conn: u64, command: Command, links: &mut dyn Links) {
--- a/crates/spokeflow-engine/src/input.rs
+++ b/crates/spokeflow-engine/src/input.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use spokeflow_agreed::AgreedTerms;
 use spokeflow_core::Micros;
 use spokeflow_proto::{Command, FromDesk, FromHost, FromList, Line};
 
@@ -53,6 +54,12 @@
         host: u32,
         ago_us: u64,
     },
+    /// From the keepers: these terms may be acted on until then, by the engine's clock. Of a router that follows
+    /// keepers it is the first input, with a time that is over.
+    Agreed {
+        until: Micros,
+        terms: Box<AgreedTerms>,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/spokeflow-engine/src/links.rs
+++ b/crates/spokeflow-engine/src/links.rs
@@ -19,4 +19,6 @@
     fn host_open(&mut self, host: HostId, address: &str, incarnation: u64);
     /// The host drains or is gone: what has not left for it yet must not. `gone`: nothing is expected back.
     fn host_closed(&mut self, host: HostId, gone: bool);
+    /// How long after [`Links::host_closed`] something may still leave for the host; told where keepers change it.
+    fn drain_grace(&mut self, _grace: Micros) {}
 }
--- a/crates/spokeflow-engine/tests/common/mod.rs
+++ b/crates/spokeflow-engine/tests/common/mod.rs
@@ -15,6 +15,9 @@
     pub now: Micros,
     /// Deliveries that the rig's hosts have not ended: host, number, op type.
     pub sent: Vec<(u32, u64, u16)>,
+    /// Hosts of all deliveries, in order, and by when each has to leave.
+    pub hosts: Vec<u32>,
+    pub leave_by: Vec<(u32, Micros)>,
     pub answers: Vec<(Micros, u64, ToClient)>,
     pub votes: Vec<ToDesk>,
     pub closed: Vec<(u32, bool)>,
@@ -55,6 +58,8 @@
                 return false;
             }
             self.sent.push((host.0, delivery, op));
+            self.hosts.push(host.0);
+            self.leave_by.push((host.0, leave_by));
         }
         true
     }
@@ -88,7 +93,7 @@
     version: u64,
 }
 
-fn terms() -> EngineTerms {
+pub fn terms() -> EngineTerms {
     let op = |repeat, repeat_scope| OpTerms {
         repeat,
         repeat_scope,
--- a/crates/spokeflow-engine/tests/engine.rs
+++ b/crates/spokeflow-engine/tests/engine.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use spokeflow_agreed::AgreedTerms;
 use spokeflow_core::Micros;
 use spokeflow_engine::{Input, NoAnswer, Recording, RecordingFault};
 use spokeflow_proto::{FromDesk, FromHost, LinePhase, News, NewsStanding, ToClient};
@@ -260,3 +261,100 @@
         assert_eq!((rig.engine.held(), rig.engine.counts().overdue), (0, 0), "seed {seed}");
     }
 }
+
+const OLD: u16 = 7;
+const NEW: u16 = 8;
+
+/// Two hosts of the build that stands and two of one on trial, whose cap is all.
+fn on_trial(rig: &mut Rig) {
+    rig.list(&[1, 2], OLD);
+    rig.warm_up();
+    rig.change(3, NEW, LinePhase::Ready, 1);
+    rig.change(4, NEW, LinePhase::Ready, 1);
+    let news = News { build: NEW, stage: 1, standing: NewsStanding::OnTrial, cap: 0.4, age_us: 0 };
+    rig.input(Input::FromDesk(FromDesk::News(news)));
+}
+
+fn agreed() -> AgreedTerms {
+    AgreedTerms::of(&terms().service)
+}
+
+fn grant(rig: &mut Rig, lasts: Micros, change: impl FnOnce(&mut AgreedTerms)) {
+    let mut terms = agreed();
+    change(&mut terms);
+    let until = rig.now + lasts;
+    rig.input(Input::Agreed { until, terms: Box::new(terms) });
+}
+
+/// Deliveries of so long a time of steady commands, each answered: at the build that stands, at the one on trial.
+fn shares(rig: &mut Rig, span: Micros) -> [usize; 2] {
+    let before = rig.links.hosts.len();
+    rig.answer_all(span);
+    let new = rig.links.hosts[before..].iter().filter(|h| **h > 2).count();
+    [rig.links.hosts.len() - before - new, new]
+}
+
+#[test]
+fn without_a_lease_nothing_goes_to_a_build_on_trial_and_commands_are_served() {
+    let mut rig = Rig::new(5, 0);
+    grant(&mut rig, 0, |_| {});
+    on_trial(&mut rig);
+    let [old, new] = shares(&mut rig, 4 * SECOND);
+    assert!(old > 150 && new == 0, "before the first lease: {old} {new}");
+    grant(&mut rig, 8 * SECOND, |_| {});
+    let [_, new] = shares(&mut rig, 7 * SECOND);
+    assert!(new > 20, "with one: {new}");
+    rig.pass(SECOND);
+    rig.links.sent.clear();
+    let [old, new] = shares(&mut rig, 4 * SECOND);
+    assert!(old > 150 && new == 0, "after it: {old} {new}");
+    // Renewed, it goes on where it was.
+    grant(&mut rig, 8 * SECOND, |_| {});
+    let [_, new] = shares(&mut rig, 6 * SECOND);
+    assert!(new > 20, "with another: {new}");
+}
+
+/// A process that was stopped acts on what it reads first, before any of its timers.
+#[test]
+fn a_lease_that_ran_out_in_a_sleep_is_seen_before_the_next_act() {
+    let mut rig = Rig::new(5, 0);
+    grant(&mut rig, 60 * SECOND, |_| {});
+    on_trial(&mut rig);
+    shares(&mut rig, 8 * SECOND);
+    rig.now += 60 * SECOND;
+    for id in 0..200 {
+        rig.command(5, id, SAFE, 0);
+        assert!(
+            rig.links.sent.iter().all(|s| s.0 <= 2),
+            "a command went to the trial on a lease that was over"
+        );
+        rig.answer_some();
+    }
+}
+
+#[test]
+fn what_is_queued_for_a_build_on_trial_leaves_within_the_lease_or_not() {
+    let mut rig = Rig::new(5, 0);
+    grant(&mut rig, 7 * SECOND, |_| {});
+    on_trial(&mut rig);
+    let until = rig.now + 8 * SECOND;
+    grant(&mut rig, 8 * SECOND, |_| {});
+    shares(&mut rig, 7 * SECOND);
+    let by = |new: bool| rig.links.leave_by.iter().filter(move |l| (l.0 > 2) == new).collect::<Vec<_>>();
+    let (new, old) = (by(true), by(false));
+    assert!(!new.is_empty() && new.iter().all(|l| l.1 <= until), "{new:?}");
+    assert!(old.iter().any(|l| l.1 > until), "the build that stands needs no lease");
+}
+
+#[test]
+fn an_agreed_cap_holds_under_a_higher_one_of_the_desk_and_counts_on_through_a_change() {
+    let mut rig = Rig::new(5, 0);
+    grant(&mut rig, 60 * SECOND, |_| {});
+    on_trial(&mut rig);
+    shares(&mut rig, 10 * SECOND);
+    grant(&mut rig, 60 * SECOND, |t| (t.stage_caps, t.exposure_free) = (vec![0.05; 3], 0.0));
+    let [old, new] = shares(&mut rig, 4 * SECOND);
+    assert!(new as f64 <= 0.05 * (old + new) as f64 + 1.0, "at once, with what was sent before: {old} {new}");
+    let [old, new] = shares(&mut rig, 20 * SECOND);
+    assert!(new > 10 && new as f64 <= 0.05 * (old + new) as f64 + 1.0, "{old} {new}");
+}
--- /dev/null
+++ b/crates/spokeflow-fleet/src/main.rs
@@ -0,0 +1,338 @@
+//! People's view of the keepers.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Args, Parser, Subcommand};
+use comfy_table::Table;
+use rand::RngExt;
+use serde::Serialize;
+use spokeflow_agreed::wire::{Answer, Ask, View};
+use spokeflow_agreed::{Offer, RevisionNo, Values, Verdict};
+use spokeflow_keeper::ask::ask;
+use spokeflow_keeper::check;
+use spokeflow_quorum::KeeperId;
+
+/// Sees and changes what the fleet's routers agree on. Exit code 0: done; 1: refused, or not so; 2: wrong use, or no
+/// keeper answers
+#[derive(Parser)]
+#[command(name = "spokeflow-fleet", version)]
+struct Program {
+    #[command(flatten)]
+    common: Common,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Args)]
+struct Common {
+    /// A keeper; repeat the flag for each, any that answers will do
+    #[arg(long = "keeper", env = "SPOKEFLOW_KEEPER", value_delimiter = ',', global = true)]
+    keepers: Vec<SocketAddr>,
+    /// Prints JSON
+    #[arg(long, global = true)]
+    json: bool,
+    /// How long to try
+    #[arg(long, default_value = "10s", value_parser = humantime::parse_duration, global = true)]
+    within: Duration,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Who leads, what is in force, what is announced, who acts on it
+    Status,
+    /// Revisions, who offered them, when and why
+    History,
+    /// Offers a revision: NAME=VALUE for each flag that is to differ from the routers' own. What is not named goes
+    /// back to those, unless --keep is given
+    Offer(OfferFlags),
+    /// What a revision would change against the newest
+    Diff {
+        #[arg(value_name = "NAME=VALUE")]
+        values: Vec<String>,
+    },
+    /// Checks values as the keepers do; needs none of them
+    Check {
+        #[arg(value_name = "NAME=VALUE")]
+        values: Vec<String>,
+    },
+    /// Waits until this revision, or a later one, is in force
+    Watch { revision: u64 },
+    /// Tells where a keeper is to be found, so that it may be taken in
+    Seat { keeper: u32, address: SocketAddr },
+    /// Takes a keeper in, whose seat is known
+    TakeIn { keeper: u32 },
+    /// Takes a keeper out, for good: its number is not used again
+    TakeOut { keeper: u32 },
+}
+
+#[derive(Args)]
+struct OfferFlags {
+    #[arg(value_name = "NAME=VALUE")]
+    values: Vec<String>,
+    /// Names that are not given stay as the newest revision has them
+    #[arg(long)]
+    keep: bool,
+    /// The newest revision that you have seen; refused where there is a newer one. Asked for where not given
+    #[arg(long)]
+    against: Option<u64>,
+    /// Who offers it
+    #[arg(long, env = "USER")]
+    who: String,
+    /// Why, in one sentence
+    #[arg(long)]
+    why: String,
+    /// Waits until it is in force
+    #[arg(long)]
+    wait: bool,
+}
+
+enum Fault {
+    /// It is not so, or it was refused.
+    Refused(String),
+    Wrong(String),
+}
+
+fn read(values: &[String]) -> Result<Values, Fault> {
+    let mut all = Values::new();
+    for text in values {
+        let (name, value) = text.split_once('=').ok_or_else(|| {
+            Fault::Wrong(format!("'{text}' is not NAME=VALUE, such as stage-cap=0.05,0.2,0.5,1"))
+        })?;
+        all.insert(name.trim_start_matches('-').to_string(), value.to_string());
+    }
+    Ok(all)
+}
+
+fn text(values: &Values) -> String {
+    match values.is_empty() {
+        true => "each router's own flags".into(),
+        false => values.iter().map(|(n, v)| format!("{n}={v}")).collect::<Vec<_>>().join(" "),
+    }
+}
+
+#[derive(Serialize)]
+struct Change {
+    name: String,
+    before: Option<String>,
+    after: Option<String>,
+}
+
+fn changes(before: &Values, after: &Values) -> Vec<Change> {
+    let mut names: Vec<&String> = before.keys().chain(after.keys()).collect();
+    names.sort();
+    names.dedup();
+    let change =
+        |n: &String| Change { name: n.clone(), before: before.get(n).cloned(), after: after.get(n).cloned() };
+    names.into_iter().map(change).filter(|c| c.before != c.after).collect()
+}
+
+impl Common {
+    async fn ask(&self, what: Ask) -> Result<Answer, Fault> {
+        if self.keepers.is_empty() {
+            return Err(Fault::Wrong(
+                "--keeper: at least one address, or the variable SPOKEFLOW_KEEPER".into(),
+            ));
+        }
+        match ask(&self.keepers, what, self.within).await {
+            Ok(Answer::Bad(what)) => Err(Fault::Refused(what)),
+            Ok(Answer::Unclear) => Err(Fault::Refused("not clear whether it was done: see status".into())),
+            Ok(answer) => Ok(answer),
+            Err(what) => Err(Fault::Wrong(what)),
+        }
+    }
+
+    async fn view(&self) -> Result<View, Fault> {
+        match self.ask(Ask::View).await? {
+            Answer::View(view) => Ok(*view),
+            other => Err(Fault::Wrong(format!("another answer came: {other:?}"))),
+        }
+    }
+
+    fn print(&self, value: &impl Serialize, table: impl FnOnce() -> String) -> Result<(), Fault> {
+        match self.json {
+            true => {
+                println!("{}", serde_json::to_string_pretty(value).map_err(|e| Fault::Wrong(e.to_string()))?)
+            }
+            false => println!("{}", table()),
+        }
+        Ok(())
+    }
+
+    async fn wait_for(&self, revision: u64) -> Result<(), Fault> {
+        let until = tokio::time::Instant::now() + self.within;
+        loop {
+            let view = self.view().await?;
+            if view.in_force.number.0 >= revision {
+                return self
+                    .print(&view.in_force, || format!("revision {} is in force", view.in_force.number.0));
+            }
+            if tokio::time::Instant::now() >= until {
+                let now = view.in_force.number.0;
+                return Err(Fault::Refused(format!("revision {now} is in force, {revision} is not yet")));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn members(&self, keeper: u32, take_in: bool) -> Result<(), Fault> {
+        let mut members = self.view().await?.members;
+        let there = members.contains(&KeeperId(keeper));
+        if there != take_in {
+            members.retain(|m| m.0 != keeper);
+            members.extend(take_in.then_some(KeeperId(keeper)));
+            self.ask(Ask::Members(members)).await?;
+        }
+        let until = tokio::time::Instant::now() + self.within;
+        loop {
+            // In the view from its beginning on; it stands once something later is committed.
+            let view = self.view().await?;
+            if view.members.contains(&KeeperId(keeper)) == take_in {
+                let ids: Vec<u32> = view.members.iter().map(|m| m.0).collect();
+                return self.print(&ids, || format!("keepers that vote: {ids:?}"));
+            }
+            if tokio::time::Instant::now() >= until {
+                return Err(Fault::Refused("the change does not stand yet: see status".into()));
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+async fn run(program: Program) -> Result<(), Fault> {
+    let common = &program.common;
+    match program.what {
+        What::Status => {
+            let view = common.view().await?;
+            common.print(&view, || status(&view))
+        }
+        What::History => {
+            let view = common.view().await?;
+            common.print(&view.history, || history(&view))
+        }
+        What::Offer(flags) => offer(common, flags).await,
+        What::Diff { values } => {
+            let view = common.view().await?;
+            let newest = view.announced.as_ref().unwrap_or(&view.in_force);
+            let changes = changes(&newest.values, &read(&values)?);
+            common.print(&changes, || {
+                let mut table = Table::new();
+                let number = newest.number.0;
+                table.set_header(["flag".to_string(), format!("revision {number}"), "offered".into()]);
+                let own = || "router's own".to_string();
+                for c in &changes {
+                    table.add_row([
+                        c.name.clone(),
+                        c.before.clone().unwrap_or_else(own),
+                        c.after.clone().unwrap_or_else(own),
+                    ]);
+                }
+                table.to_string()
+            })
+        }
+        What::Check { values } => {
+            let values = read(&values)?;
+            check::values(&values).map_err(Fault::Refused)?;
+            common.print(&values, || {
+                "each value fits by itself; each router checks them with its own flags".into()
+            })
+        }
+        What::Watch { revision } => common.wait_for(revision).await,
+        What::Seat { keeper, address } => {
+            let (keeper, address) = (KeeperId(keeper), address.to_string());
+            common.ask(Ask::Seat { keeper, address }).await.map(drop)
+        }
+        What::TakeIn { keeper } => common.members(keeper, true).await,
+        What::TakeOut { keeper } => common.members(keeper, false).await,
+    }
+}
+
+async fn offer(common: &Common, flags: OfferFlags) -> Result<(), Fault> {
+    let mut values = read(&flags.values)?;
+    let view = common.view().await?;
+    let newest = view.announced.as_ref().unwrap_or(&view.in_force);
+    if flags.keep {
+        let mut kept = newest.values.clone();
+        kept.append(&mut values);
+        values = kept;
+    }
+    let against = RevisionNo(flags.against.unwrap_or(newest.number.0));
+    let token = rand::rng().random();
+    let (who, why) = (flags.who, flags.why);
+    let offer = Offer { token, against, who, why, at_s: 0, values };
+    match common.ask(Ask::Offer(offer)).await? {
+        Answer::Offered(Verdict::Announced(RevisionNo(n))) => {
+            common.print(&n, || format!("revision {n} is announced"))?;
+            if flags.wait {
+                common.wait_for(n).await?;
+            }
+            Ok(())
+        }
+        Answer::Offered(Verdict::Stale { newest }) => Err(Fault::Refused(format!(
+            "made against revision {}, but {} is the newest",
+            against.0, newest.0
+        ))),
+        Answer::Offered(Verdict::Busy { announced }) => {
+            Err(Fault::Refused(format!("revision {} is announced and not in force yet", announced.0)))
+        }
+        other => Err(Fault::Wrong(format!("another answer came: {other:?}"))),
+    }
+}
+
+fn status(view: &View) -> String {
+    let ids: Vec<u32> = view.members.iter().map(|m| m.0).collect();
+    let mut lines = vec![
+        format!("leader          keeper {}, term {}", view.leader.0, view.term.0),
+        format!("keepers         {ids:?}, log committed to {}", view.committed.0),
+        format!("in force        revision {}: {}", view.in_force.number.0, text(&view.in_force.values)),
+    ];
+    if let Some(a) = &view.announced {
+        lines.push(format!("announced       revision {}: {}", a.number.0, text(&a.values)));
+    }
+    lines.push(format!(
+        "routers         {} hold a lease, {} act on the newest revision",
+        view.leases, view.acting
+    ));
+    lines.join("\n")
+}
+
+fn history(view: &View) -> String {
+    let mut table = Table::new();
+    table.set_header(["revision", "values", "who", "why", "offered", "in force after"]);
+    for r in &view.history {
+        let at = std::time::UNIX_EPOCH + Duration::from_secs(r.offered_s);
+        let after = r.in_force_s.map_or("not yet".into(), |s| format!("{} s", s.saturating_sub(r.offered_s)));
+        table.add_row([
+            r.revision.number.0.to_string(),
+            text(&r.revision.values),
+            r.who.clone(),
+            r.why.clone(),
+            humantime::format_rfc3339_seconds(at).to_string(),
+            after,
+        ]);
+    }
+    table.to_string()
+}
+
+fn main() -> ExitCode {
+    let program = Program::parse();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("spokeflow-fleet: cannot start: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    match runtime.block_on(run(program)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Fault::Refused(what)) => {
+            eprintln!("spokeflow-fleet: {what}");
+            ExitCode::FAILURE
+        }
+        Err(Fault::Wrong(what)) => {
+            eprintln!("spokeflow-fleet: {what}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-keeper/src/calls.rs
@@ -0,0 +1,130 @@
+//! Connections that others make to a keeper.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use spokeflow_agreed::wire::{Caller, Common, FromKeeper, Refusal, ToKeeper, LIMIT, MAGIC, VERSION};
+use spokeflow_proto::FrameCodec;
+use spokeflow_quorum::KeeperId;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tracing::info;
+
+use spokeflow_platform::Clock;
+
+use crate::serve::Arrival;
+
+/// A caller says who it is, and takes what it is sent, within this time.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Longest frame, in bytes, before the caller has said who it is.
+const HELLO_LIMIT: usize = 128;
+/// Longest frame of a router or a person, in bytes: an offer.
+const ASK_LIMIT: usize = 64 << 10;
+/// Answers that wait for one caller at most; one that does not read them is closed.
+pub const ANSWERS: usize = 256;
+
+pub struct Call {
+    pub conn: u64,
+    pub own: KeeperId,
+    pub common: Common,
+    pub core: mpsc::Sender<Arrival>,
+    pub clock: Arc<Clock>,
+    pub _place: OwnedSemaphorePermit,
+}
+
+type Link = Framed<TcpStream, FrameCodec<ToKeeper, FromKeeper>>;
+
+impl Call {
+    pub async fn run(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut link: Link = Framed::with_capacity(stream, FrameCodec::new(HELLO_LIMIT), 512);
+        let Ok(Some(Ok(first))) = timeout(PATIENCE, link.next()).await else { return };
+        let refused = match self.admit(first).await {
+            Ok(caller) => {
+                let keeper = matches!(caller, Caller::Keeper { .. });
+                link.codec_mut().set_limit(if keeper { LIMIT } else { ASK_LIMIT });
+                self.talk(link, caller).await;
+                let _ = self.core.send(Arrival::Left(self.conn)).await;
+                return;
+            }
+            Err(refused) => refused,
+        };
+        if let Some(kept_back) = self.clock.line() {
+            info!(conn = self.conn, why = ?refused.0, text = refused.1, kept_back, "caller refused");
+        }
+        let _ = timeout(PATIENCE, link.send(FromKeeper::Refused { why: refused.0, text: refused.1 })).await;
+    }
+
+    async fn admit(&self, first: ToKeeper) -> Result<Caller, (Refusal, String)> {
+        let ToKeeper::Hello { magic, version, caller } = first else {
+            return Err((Refusal::OutOfOrder, "an opening message comes first".into()));
+        };
+        if magic != MAGIC || version != VERSION {
+            return Err((Refusal::Version, format!("this end speaks version {VERSION} of keepers")));
+        }
+        if let Caller::Keeper { id, start, process, common } = &caller {
+            if *common != self.common {
+                let text = format!("keeper {} was told {common:?}, this one {:?}", id.0, self.common);
+                return Err((Refusal::Terms, text));
+            }
+            // Answered by the task that knows all that was met, once it is on the disk.
+            let (answer, met) = oneshot::channel();
+            let asked = Arrival::Met { id: *id, start: *start, process: *process, answer };
+            let _ = self.core.send(asked).await;
+            if let Ok(Err(text)) = met.await {
+                return Err((Refusal::OldDisk, text));
+            }
+        }
+        Ok(caller)
+    }
+
+    async fn talk(&self, mut link: Link, caller: Caller) {
+        let (answers, mut to_send) = mpsc::channel(ANSWERS);
+        let welcome = FromKeeper::Welcome { keeper: self.own, common: self.common };
+        let keeper = match caller {
+            Caller::Keeper { id, .. } => Some(id),
+            _ => None,
+        };
+        if self.core.send(Arrival::Came(self.conn, answers)).await.is_err() {
+            return;
+        }
+        if !matches!(timeout(PATIENCE, link.send(welcome)).await, Ok(Ok(()))) {
+            return;
+        }
+        loop {
+            tokio::select! {
+                read = link.next() => {
+                    let arrival = match read {
+                        Some(Ok(ToKeeper::Ask { number, ask })) => {
+                            Arrival::Asked { conn: self.conn, number, keeper: keeper.is_some(), ask }
+                        }
+                        Some(Ok(ToKeeper::Quorum(message))) => match keeper {
+                            Some(from) => Arrival::Heard(from, message),
+                            None => return,
+                        },
+                        _ => return,
+                    };
+                    if self.core.send(arrival).await.is_err() {
+                        return;
+                    }
+                }
+                answer = to_send.recv() => {
+                    let Some((number, answer)) = answer else { return };
+                    let sending = async {
+                        link.feed(FromKeeper::Answer { number, answer }).await?;
+                        while let Ok((number, answer)) = to_send.try_recv() {
+                            link.feed(FromKeeper::Answer { number, answer }).await?;
+                        }
+                        link.flush().await
+                    };
+                    if !matches!(timeout(PATIENCE, sending).await, Ok(Ok(()))) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-keeper/src/core.rs
@@ -0,0 +1,305 @@
+//! One keeper as a state machine, without I/O: its member of the log, the ledger that the log makes, the leases that it
+//! gives while it leads, and the requests that wait for an answer.
+
+use std::collections::BTreeMap;
+
+use spokeflow_agreed::wire::{Answer, Ask, ToKeeper, View};
+use spokeflow_agreed::{Act, Granter, LeaseTerms, Ledger, RevisionNo};
+use spokeflow_core::Micros;
+use spokeflow_quorum::{Body, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Term, Write};
+
+/// Entries beside the snapshot from which a new one is made.
+const KEPT: usize = 500;
+/// Requests that wait at most: beyond, one more is told that nobody leads.
+const WAITING: usize = 4096;
+/// An offer that is not committed within this time is told to be unclear, and a request to another keeper given up.
+const PATIENCE: Micros = 2_000_000;
+
+#[derive(Clone, Debug)]
+pub struct KeeperTerms {
+    pub own: KeeperId,
+    pub quorum: QuorumTerms,
+    pub lease: LeaseTerms,
+}
+
+/// Whom an answer is for: a connection, and the caller's number of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct From {
+    pub conn: u64,
+    pub number: u64,
+    /// Whether another keeper passes it on: it is then not passed on again.
+    pub keeper: bool,
+}
+
+/// What one call asks for. Writes are to be synced in their order, and told by [`Keeper::synced`].
+#[derive(Debug, Default)]
+pub struct Step {
+    pub to_keepers: Vec<(KeeperId, ToKeeper)>,
+    pub answers: Vec<(u64, u64, Answer)>,
+    pub writes: Vec<Write>,
+    /// Whether the ledger has changed.
+    pub changed: bool,
+}
+
+struct Waiting {
+    from: From,
+    until: Micros,
+}
+
+pub struct Keeper {
+    terms: KeeperTerms,
+    member: Member,
+    ledger: Ledger,
+    applied: Place,
+    /// While it leads: for which term, and who holds leases.
+    granter: Option<(Term, Granter)>,
+    /// The revision that it has asked the log to put in force, and when.
+    forcing: Option<(Term, RevisionNo)>,
+    /// By token, offers that are in the log and not committed.
+    offers: BTreeMap<u64, Vec<Waiting>>,
+    /// By own number, requests passed on to the leader.
+    passed: BTreeMap<u64, Waiting>,
+    next_pass: u64,
+    /// Seconds since 1970, for people.
+    pub wall_s: u64,
+}
+
+impl Keeper {
+    /// Errors: the snapshot cannot be read.
+    pub fn new(terms: KeeperTerms, seed: u64, saved: Saved, now: Micros) -> Result<Self, String> {
+        let applied = saved.snapshot.upto;
+        let ledger = match applied.0 {
+            0 => Ledger::default(),
+            _ => Ledger::restore(&saved.snapshot.state)?,
+        };
+        let member = Member::new(terms.own, terms.quorum.clone(), seed, saved, now);
+        Ok(Keeper {
+            terms,
+            member,
+            ledger,
+            applied,
+            granter: None,
+            forcing: None,
+            offers: BTreeMap::new(),
+            passed: BTreeMap::new(),
+            next_pass: 0,
+            wall_s: 0,
+        })
+    }
+
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    pub fn applied(&self) -> Place {
+        self.applied
+    }
+
+    pub fn next_wake(&self, now: Micros) -> Micros {
+        let look = self.granter.as_ref().and_then(|(_, g)| g.next_look(now)).unwrap_or(Micros::MAX);
+        let waits = self.offers.values().flatten().chain(self.passed.values()).map(|w| w.until).min();
+        self.member.next_wake().min(look).min(waits.unwrap_or(Micros::MAX))
+    }
+
+    pub fn woken(&mut self, now: Micros, step: &mut Step) {
+        let mut out = Out::default();
+        self.member.woken(now, &mut out);
+        let late: Vec<u64> = self.passed.iter().filter(|p| p.1.until <= now).map(|p| *p.0).collect();
+        for number in late {
+            self.passed_back(number, Answer::Unclear, step);
+        }
+        self.offers.retain(|_, waiting| {
+            for w in waiting.extract_if(.., |w| w.until <= now) {
+                step.answers.push((w.from.conn, w.from.number, Answer::Unclear));
+            }
+            !waiting.is_empty()
+        });
+        self.settle(now, out, step);
+    }
+
+    pub fn heard(&mut self, now: Micros, from: KeeperId, message: Message, step: &mut Step) {
+        let mut out = Out::default();
+        self.member.heard(now, from, message, &mut out);
+        self.settle(now, out, step);
+    }
+
+    pub fn synced(&mut self, now: Micros, number: u64, step: &mut Step) {
+        let mut out = Out::default();
+        self.member.synced(now, number, &mut out);
+        self.settle(now, out, step);
+    }
+
+    /// Takes in a request. It is answered in this step, or in a later one within [`PATIENCE`].
+    pub fn asked(&mut self, now: Micros, from: From, ask: Ask, step: &mut Step) {
+        let mut out = Out::default();
+        // Asked at each act: this process may have been stopped since the last.
+        let answer = match self.member.speaks(now) {
+            true => self.lead(now, from, ask, &mut out),
+            false => self.pass_on(now, from, ask, step),
+        };
+        step.answers.extend(answer.map(|answer| (from.conn, from.number, answer)));
+        self.settle(now, out, step);
+    }
+
+    /// The answer of the keeper to which a request was passed on.
+    pub fn passed_back(&mut self, number: u64, answer: Answer, step: &mut Step) {
+        if let Some(w) = self.passed.remove(&number) {
+            step.answers.push((w.from.conn, w.from.number, answer));
+        }
+    }
+
+    fn pass_on(&mut self, now: Micros, from: From, ask: Ask, step: &mut Step) -> Option<Answer> {
+        let leader = self.member.leader().filter(|l| *l != self.terms.own);
+        let Some(leader) = leader.filter(|_| !from.keeper && self.passed.len() < WAITING) else {
+            return Some(Answer::NoLeader);
+        };
+        self.next_pass += 1;
+        self.passed.insert(self.next_pass, Waiting { from, until: now + PATIENCE });
+        step.to_keepers.push((leader, ToKeeper::Ask { number: self.next_pass, ask }));
+        None
+    }
+
+    fn lead(&mut self, now: Micros, from: From, ask: Ask, out: &mut Out) -> Option<Answer> {
+        match ask {
+            Ask::Lease(asked) => {
+                let term = self.member.term();
+                let lease = self.terms.lease;
+                // Told to one that has just begun to lead before it has looked at its ledger: it looks now.
+                let (of, granter) = self.granter.get_or_insert_with(|| (term, Granter::new(lease, now)));
+                if *of != term {
+                    (*of, *granter) = (term, Granter::new(lease, now));
+                }
+                Some(Answer::Granted(Box::new(granter.ask(now, &asked, &self.ledger))))
+            }
+            Ask::Offer(offer) => {
+                if let Some(verdict) = self.ledger.verdict(offer.token) {
+                    return Some(Answer::Offered(verdict));
+                }
+                if let Err(what) = crate::check::values(&offer.values) {
+                    return Some(Answer::Bad(what));
+                }
+                let token = offer.token;
+                let at_s = self.wall_s;
+                let waiting = self.offers.entry(token).or_default();
+                if waiting.is_empty() {
+                    let act = Act::Offer(spokeflow_agreed::Offer { at_s, ..offer });
+                    if self.member.offer(now, act.bytes(), out).is_err() {
+                        self.offers.remove(&token);
+                        return Some(Answer::NoLeader);
+                    }
+                }
+                if let Some(waiting) = self.offers.get_mut(&token).filter(|w| w.len() < WAITING) {
+                    waiting.push(Waiting { from, until: now + PATIENCE });
+                }
+                None
+            }
+            Ask::View => Some(Answer::View(Box::new(self.view(now)))),
+            Ask::Seat { keeper, address } => {
+                if address.parse::<std::net::SocketAddr>().is_err() {
+                    return Some(Answer::Bad(format!("'{address}' is not an address with a port")));
+                }
+                let act = Act::Seat { keeper, address };
+                Some(self.member.offer(now, act.bytes(), out).map_or(Answer::NoLeader, |_| Answer::Begun))
+            }
+            Ask::Members(members) => {
+                let unknown = members
+                    .iter()
+                    .find(|m| !self.member.members().contains(m) && !self.ledger.seats.contains_key(m));
+                if let Some(unknown) = unknown {
+                    return Some(Answer::Bad(format!("keeper {} has no seat yet", unknown.0)));
+                }
+                let begun = self.member.change(now, members, out);
+                let not = || {
+                    Answer::Bad("another change is under way, or it is not one keeper's difference".into())
+                };
+                Some(begun.map_or_else(not, |_| Answer::Begun))
+            }
+        }
+    }
+
+    fn view(&self, now: Micros) -> View {
+        let counts = self.granter.as_ref().map(|(_, g)| g.counts(now, &self.ledger));
+        let (leases, acting) = counts.unwrap_or_default();
+        View {
+            leader: self.terms.own,
+            term: self.member.term(),
+            committed: self.member.committed(),
+            in_force: self.ledger.in_force.clone(),
+            announced: self.ledger.announced.clone(),
+            history: self.ledger.history.iter().cloned().collect(),
+            members: self.member.members().to_vec(),
+            seats: self.ledger.seats.iter().map(|(k, a)| (*k, a.clone())).collect(),
+            leases: leases as u64,
+            acting: acting as u64,
+        }
+    }
+
+    /// Applies what is committed, and does what a leader has to.
+    fn settle(&mut self, now: Micros, mut out: Out, step: &mut Step) {
+        loop {
+            if let Some(snapshot) = out.restored.take() {
+                // Written by a keeper that read its own: if this one cannot, it must not go on as if it could.
+                self.ledger = Ledger::restore(&snapshot.state).unwrap_or_default();
+                (self.applied, step.changed) = (snapshot.upto, true);
+            }
+            for (place, entry) in std::mem::take(&mut out.committed) {
+                self.applied = place;
+                step.changed = true;
+                if let Body::Act(bytes) = entry.body {
+                    if let Some(act) = Act::read(&bytes) {
+                        self.ledger.apply(act);
+                    }
+                }
+            }
+            step.writes.append(&mut out.writes);
+            let messages = out.messages.drain(..);
+            step.to_keepers.extend(messages.map(|(to, m)| (to, ToKeeper::Quorum(m))));
+            if !self.rule(now, &mut out) {
+                break;
+            }
+        }
+        let ledger = &self.ledger;
+        self.offers.retain(|token, waiting| {
+            let Some(verdict) = ledger.verdict(*token) else { return true };
+            let answer = |w: Waiting| (w.from.conn, w.from.number, Answer::Offered(verdict));
+            step.answers.extend(waiting.drain(..).map(answer));
+            false
+        });
+    }
+
+    /// Whether something has been added to `out`.
+    fn rule(&mut self, now: Micros, out: &mut Out) -> bool {
+        if self.member.kept() > KEPT && self.applied.0 > 0 {
+            self.member.compact(self.applied, self.ledger.state(), out);
+            if !out.writes.is_empty() {
+                return true;
+            }
+        }
+        if !self.member.speaks(now) {
+            // Leases may have been given by others since: what is known of them is worth nothing.
+            if !self.member.is_elected() {
+                self.granter = None;
+            }
+            return false;
+        }
+        let (term, lease) = (self.member.term(), self.terms.lease);
+        if self.granter.as_ref().is_none_or(|g| g.0 != term) {
+            self.granter = Some((term, Granter::new(lease, now)));
+        }
+        let Some((_, granter)) = &mut self.granter else { return false };
+        let Some(revision) = granter.ready(now, &self.ledger) else { return false };
+        if self.forcing == Some((term, revision)) {
+            return false;
+        }
+        let act = Act::InForce { revision, at_s: self.wall_s };
+        if self.member.offer(now, act.bytes(), out).is_ok() {
+            self.forcing = Some((term, revision));
+            return true;
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-keeper/src/lib.rs
@@ -0,0 +1,18 @@
+//! A keeper: one of the few processes that hold what routers agree on. `docs/agreement.md` is the design note,
+//! `docs/operate/fleet.md` the operators' page.
+
+pub mod ask;
+mod calls;
+pub mod check;
+mod core;
+mod peers;
+mod program;
+mod serve;
+mod steps;
+mod store;
+
+pub use core::{From, Keeper, KeeperTerms, Step};
+pub use program::{main_with, KeeperFlags, KeeperProgram};
+pub use serve::serve;
+pub use steps::{Where, WHERES};
+pub use store::{Store, StoreFault};
--- /dev/null
+++ b/crates/spokeflow-keeper/src/peers.rs
@@ -0,0 +1,102 @@
+//! Links that a keeper makes to the others: what it says leaves on its own, what it hears comes on theirs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use spokeflow_agreed::wire::{Caller, FromKeeper, Refusal, ToKeeper, LIMIT};
+use spokeflow_platform::Pauses;
+use spokeflow_proto::FrameCodec;
+use spokeflow_quorum::KeeperId;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+use tracing::{info, warn};
+
+use crate::serve::Arrival;
+
+/// A keeper that is not reached, or takes no byte, for this long is tried on a new connection.
+const PATIENCE: Duration = Duration::from_secs(1);
+pub const FIRST_PAUSE: Duration = Duration::from_millis(20);
+pub const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+pub struct PeerLink {
+    pub id: KeeperId,
+    pub address: SocketAddr,
+    pub caller: Caller,
+    pub pauses: Pauses,
+    pub core: mpsc::Sender<Arrival>,
+    pub queue: mpsc::Receiver<ToKeeper>,
+}
+
+type Link = Framed<TcpStream, FrameCodec<FromKeeper, ToKeeper>>;
+
+impl PeerLink {
+    pub async fn run(mut self) {
+        let mut failures = 0;
+        while !self.core.is_closed() {
+            match timeout(PATIENCE, self.open()).await {
+                Ok(Ok(link)) => {
+                    if failures > 0 {
+                        info!(keeper = self.id.0, failures, "keeper reached again");
+                    }
+                    failures = 0;
+                    self.talk(link).await;
+                }
+                Ok(Err(Some((Refusal::OldDisk, text)))) => {
+                    let _ = self.core.send(Arrival::OldDisk(text)).await;
+                }
+                Ok(Err(Some((why, text)))) => {
+                    warn!(keeper = self.id.0, ?why, text, "refused by a keeper");
+                }
+                _ => {}
+            }
+            failures += 1;
+            sleep(self.pauses.after(failures)).await;
+            // What was meant for the connection before is lost, as any message may be.
+            while self.queue.try_recv().is_ok() {}
+        }
+    }
+
+    async fn open(&self) -> Result<Link, Option<(Refusal, String)>> {
+        let stream = TcpStream::connect(self.address).await.map_err(|_| None)?;
+        let _ = stream.set_nodelay(true);
+        let mut link: Link = Framed::with_capacity(stream, FrameCodec::new(LIMIT), 4096);
+        link.send(ToKeeper::hello(self.caller.clone())).await.map_err(|_| None)?;
+        match link.next().await {
+            Some(Ok(FromKeeper::Welcome { .. })) => Ok(link),
+            Some(Ok(FromKeeper::Refused { why, text })) => Err(Some((why, text))),
+            _ => Err(None),
+        }
+    }
+
+    async fn talk(&mut self, mut link: Link) {
+        loop {
+            tokio::select! {
+                message = self.queue.recv() => {
+                    let Some(message) = message else { return };
+                    let sending = async {
+                        link.feed(message).await?;
+                        while let Ok(message) = self.queue.try_recv() {
+                            link.feed(message).await?;
+                        }
+                        link.flush().await
+                    };
+                    match timeout(PATIENCE, sending).await {
+                        Ok(Ok(())) => {}
+                        _ => return,
+                    }
+                }
+                heard = link.next() => match heard {
+                    Some(Ok(FromKeeper::Answer { number, answer })) => {
+                        if self.core.send(Arrival::PassedBack(number, answer)).await.is_err() {
+                            return;
+                        }
+                    }
+                    _ => return,
+                },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-keeper/src/program.rs
@@ -0,0 +1,186 @@
+//! The keeper's flags, checked at start.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Args, Parser};
+use spokeflow_agreed::wire::Common;
+use spokeflow_agreed::LeaseTerms;
+use spokeflow_core::Micros;
+use spokeflow_platform::{start_log, LogForm};
+use spokeflow_quorum::{KeeperId, QuorumTerms};
+
+use crate::{serve, KeeperTerms, Store, Where, WHERES};
+
+fn span(text: &str) -> Result<Duration, String> {
+    humantime::parse_duration(text).map_err(|e| format!("{e}; a time with its unit, such as 250ms or 2s"))
+}
+
+fn member(text: &str) -> Result<(u32, SocketAddr), String> {
+    let (id, address) = text.split_once('=').ok_or("not ID=ADDRESS")?;
+    let id = id.parse().map_err(|_| format!("'{id}' is not a number"))?;
+    Ok((id, address.parse().map_err(|_| format!("'{address}' is not an address with a port"))?))
+}
+
+fn place(text: &str) -> Result<(Where, u64), String> {
+    let (name, nth) = text.split_once(':').unwrap_or((text, "1"));
+    let known = WHERES.iter().find(|w| w.0 == name).map(|w| w.1);
+    Ok((known.ok_or("no such place")?, nth.parse().map_err(|_| "not PLACE:NTH")?))
+}
+
+#[derive(Clone, Debug, Args)]
+pub struct KeeperFlags {
+    /// Number of this keeper, never given to another one, not even in its place
+    #[arg(long, env = "SPOKEFLOW_KEEPER_ID")]
+    pub id: u32,
+    /// Where routers, people and other keepers connect; port 0 takes a free one, told on standard output
+    #[arg(long, env = "SPOKEFLOW_LISTEN", default_value = "127.0.0.1:7500")]
+    pub listen: SocketAddr,
+    /// A keeper of the fleet's first set: ID=ADDRESS; three, five or seven, this one among them, told to all alike.
+    /// With --join those that may know more: this one then waits to be taken in
+    #[arg(long = "member", env = "SPOKEFLOW_MEMBER", value_delimiter = ',', value_parser = member)]
+    pub members: Vec<(u32, SocketAddr)>,
+    /// Starts as one that is yet to be taken in
+    #[arg(long, env = "SPOKEFLOW_JOIN")]
+    pub join: bool,
+    /// File of its store, made where it is not there
+    #[arg(long, env = "SPOKEFLOW_STORE")]
+    pub store: PathBuf,
+    /// Number of the fleet: a keeper of another one is refused, and so is its store
+    #[arg(long, env = "SPOKEFLOW_FLEET", default_value_t = 0)]
+    pub fleet: u64,
+    /// After this silence of the leader another may be elected
+    #[arg(long, env = "SPOKEFLOW_SILENCE", default_value = "500ms", value_parser = span)]
+    pub silence: Duration,
+    /// How often the leader speaks
+    #[arg(long, env = "SPOKEFLOW_BEAT", default_value = "100ms", value_parser = span)]
+    pub beat: Duration,
+    /// For how long a router may act on what it was told last
+    #[arg(long, env = "SPOKEFLOW_LEASE", default_value = "3s", value_parser = span)]
+    pub lease: Duration,
+    /// How much faster or slower than true any clock of the fleet may run, as a share
+    #[arg(long, env = "SPOKEFLOW_DRIFT", default_value_t = 0.01)]
+    pub drift: f64,
+    /// Routers, people and keepers that are connected at most
+    #[arg(long, env = "SPOKEFLOW_CALLERS_AT_MOST", default_value_t = 4096)]
+    pub callers_at_most: usize,
+    /// Which lines are logged, in the form of the tracing library, such as info or debug
+    #[arg(long, env = "SPOKEFLOW_LOG", default_value = "info")]
+    pub log: String,
+    /// Form of the log
+    #[arg(long, env = "SPOKEFLOW_LOG_FORM", value_enum, default_value = "text")]
+    pub log_form: LogForm,
+    /// For tests: dies at this place, PLACE:NTH
+    #[arg(long, hide = true, value_parser = place)]
+    pub die_at: Option<(Where, u64)>,
+    /// For tests: the disk fails from this write on
+    #[arg(long, hide = true)]
+    pub fail_writes_from: Option<u64>,
+}
+
+/// Holds, with a few others, what routers agree on.
+#[derive(Debug, Parser)]
+#[command(name = "spokeflow-keeper", version)]
+pub struct KeeperProgram {
+    #[command(flatten)]
+    pub flags: KeeperFlags,
+}
+
+impl KeeperFlags {
+    /// Errors: every fault, naming its flag.
+    pub fn check(&self) -> Result<(), Vec<String>> {
+        let mut faults = Vec::new();
+        let mut when = |wrong: bool, fault: String| {
+            if wrong {
+                faults.push(fault);
+            }
+        };
+        let n = self.members.len();
+        let mut ids: Vec<u32> = self.members.iter().map(|m| m.0).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        when(ids.len() != n, "--member: a number is given twice".into());
+        if self.join {
+            when(ids.contains(&self.id), format!("--member: {} is this one, which joins", self.id));
+        } else {
+            when(n.is_multiple_of(2) || n > 7, format!("--member: {n} of them, not 1, 3, 5 or 7"));
+            when(!ids.contains(&self.id), format!("--member: keeper {} itself is not among them", self.id));
+        }
+        when(self.beat.is_zero(), "--beat: above 0s".into());
+        when(self.beat * 3 > self.silence, format!("--beat: over a third of --silence {:?}", self.silence));
+        let drift = self.drift;
+        when(!(0.0..=0.1).contains(&drift), format!("--drift: {drift} is not between 0 and 0.1"));
+        // An election takes two silences and a round trip; a lease that it outlasts would be lost by all routers.
+        when(
+            self.lease < self.silence * 4,
+            format!("--lease: under four times --silence {:?}", self.silence),
+        );
+        when(self.callers_at_most == 0, "--callers-at-most: at least 1".into());
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(faults)
+        }
+    }
+
+    pub fn terms(&self) -> KeeperTerms {
+        let micros = |span: Duration| span.as_micros() as Micros;
+        let members: Vec<KeeperId> = self.members.iter().map(|m| KeeperId(m.0)).collect();
+        KeeperTerms {
+            own: KeeperId(self.id),
+            quorum: QuorumTerms {
+                members: if self.join { Vec::new() } else { members },
+                silence: micros(self.silence),
+                beat: micros(self.beat),
+                drift: self.drift,
+            },
+            lease: LeaseTerms { lease: micros(self.lease), drift: self.drift },
+        }
+    }
+
+    pub fn common(&self) -> Common {
+        Common {
+            fleet: self.fleet,
+            silence_us: self.silence.as_micros() as u64,
+            lease_us: self.lease.as_micros() as u64,
+            drift: self.drift,
+        }
+    }
+}
+
+/// Runs the keeper until SIGTERM or SIGINT. Exit code 0: ended as asked; 1: could not go on; 2: bad terms.
+pub fn main_with(program: KeeperProgram) -> ExitCode {
+    let flags = program.flags;
+    if let Err(faults) = flags.check() {
+        faults.iter().for_each(|fault| eprintln!("spokeflow-keeper: {fault}"));
+        return ExitCode::from(2);
+    }
+    if let Err(fault) = start_log(&flags.log, flags.log_form) {
+        eprintln!("spokeflow-keeper: {fault}");
+        return ExitCode::from(2);
+    }
+    let opened = Store::open(&flags.store, flags.fleet, KeeperId(flags.id), flags.fail_writes_from);
+    let (store, saved, start) = match opened {
+        Ok(opened) => opened,
+        Err(fault) => {
+            eprintln!("spokeflow-keeper: --store {}: {fault}", flags.store.display());
+            return ExitCode::FAILURE;
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("spokeflow-keeper: cannot start: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(serve(flags, store, saved, start)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("spokeflow-keeper: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -0,0 +1,301 @@
+//! The task that owns the keeper, and the thread that owns its disk.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::RngExt;
+use spokeflow_agreed::wire::{Answer, Ask, Caller, ToKeeper};
+use spokeflow_platform::{Clock, Pauses};
+use spokeflow_quorum::{KeeperId, Message, Saved, Write};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::time::{sleep, sleep_until};
+use tracing::{info, warn};
+
+use crate::calls::Call;
+use crate::peers::{PeerLink, FIRST_PAUSE, LONGEST_PAUSE};
+use crate::steps::{Steps, Where};
+use crate::store::Start;
+use crate::{From, Keeper, KeeperFlags, Step, Store};
+
+/// Arrivals that wait at most; a task whose arrival finds no room waits, and so does its peer.
+const ARRIVALS: usize = 4096;
+const AT_ONCE: usize = 256;
+/// Messages that wait for one other keeper at most; more are lost, as any may be.
+const PEER_QUEUE: usize = 256;
+
+pub enum Arrival {
+    Came(u64, mpsc::Sender<(u64, Answer)>),
+    Left(u64),
+    Asked {
+        conn: u64,
+        number: u64,
+        keeper: bool,
+        ask: Ask,
+    },
+    Heard(KeeperId, Message),
+    PassedBack(u64, Answer),
+    /// A keeper calls; answered `Err` where its disk is older than one that was met.
+    Met {
+        id: KeeperId,
+        start: u64,
+        process: u64,
+        answer: oneshot::Sender<Result<(), String>>,
+    },
+    /// Another keeper says that this one's disk is old.
+    OldDisk(String),
+    /// All writes up to this number are on the disk, and all starts that were to be kept by then.
+    Synced(u64),
+    DiskFails(String),
+}
+
+/// What the disk's thread is handed.
+struct ToDisk {
+    writes: Vec<Write>,
+    met: Vec<(KeeperId, Start)>,
+    /// Told once it is on the disk.
+    told: Vec<oneshot::Sender<Result<(), String>>>,
+}
+
+/// Takes in all that waits and syncs it in one commit.
+fn disk(
+    mut store: Store,
+    orders: std::sync::mpsc::Receiver<ToDisk>,
+    core: mpsc::Sender<Arrival>,
+    steps: Arc<Steps>,
+) {
+    while let Ok(mut order) = orders.recv() {
+        while let Ok(more) = orders.try_recv() {
+            order.writes.extend(more.writes);
+            order.met.extend(more.met);
+            order.told.extend(more.told);
+        }
+        steps.pass(Where::BeforeSync);
+        if let Err(fault) = store.write(&order.writes, &order.met) {
+            let _ = core
+                .blocking_send(Arrival::DiskFails(format!("--store {}: {fault}", store.file().display())));
+            return;
+        }
+        steps.pass(Where::AfterSync);
+        order.told.into_iter().for_each(|t| drop(t.send(Ok(()))));
+        if let Some(last) = order.writes.last() {
+            if core.blocking_send(Arrival::Synced(last.number)).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+struct Shell {
+    flags: KeeperFlags,
+    clock: Arc<Clock>,
+    keeper: Keeper,
+    caller: Caller,
+    seed: u64,
+    core: mpsc::Sender<Arrival>,
+    callers: HashMap<u64, mpsc::Sender<(u64, Answer)>>,
+    peers: BTreeMap<KeeperId, (SocketAddr, mpsc::Sender<ToKeeper>)>,
+    met: BTreeMap<KeeperId, Start>,
+    to_disk: std::sync::mpsc::Sender<ToDisk>,
+    steps: Arc<Steps>,
+    /// What was last said of it in the log.
+    said: Option<(u64, bool, Option<KeeperId>)>,
+}
+
+impl Shell {
+    /// Where a keeper is to be found: as the flags say, else as the ledger does.
+    fn address(&self, id: KeeperId) -> Option<SocketAddr> {
+        let told = self.flags.members.iter().find(|m| m.0 == id.0).map(|m| m.1);
+        told.or_else(|| self.keeper.ledger().seats.get(&id)?.parse().ok())
+    }
+
+    fn say_to(&mut self, id: KeeperId, message: ToKeeper) {
+        let Some(address) = self.address(id) else { return };
+        if self.peers.get(&id).is_none_or(|p| p.0 != address || p.1.is_closed()) {
+            let (say, queue) = mpsc::channel(PEER_QUEUE);
+            let pauses = Pauses::new(self.seed, u64::from(id.0), FIRST_PAUSE, LONGEST_PAUSE);
+            let (caller, core) = (self.caller.clone(), self.core.clone());
+            tokio::spawn(PeerLink { id, address, caller, pauses, core, queue }.run());
+            self.peers.insert(id, (address, say));
+        }
+        // What finds no room is lost: the other does not read, or is not there.
+        let _ = self.peers[&id].1.try_send(message);
+    }
+
+    fn carry_out(&mut self, step: Step) {
+        if step.changed {
+            self.steps.pass(Where::Applied);
+        }
+        if !step.writes.is_empty() {
+            let _ = self.to_disk.send(ToDisk { writes: step.writes, met: Vec::new(), told: Vec::new() });
+        }
+        if !step.to_keepers.is_empty() {
+            self.steps.pass(Where::BeforeSending);
+        }
+        let half = step.to_keepers.len().div_ceil(2);
+        for (n, (to, message)) in step.to_keepers.into_iter().enumerate() {
+            if n == half {
+                self.steps.pass(Where::WithinSending);
+            }
+            self.say_to(to, message);
+        }
+        if !step.answers.is_empty() {
+            self.steps.pass(Where::BeforeAnswering);
+        }
+        for (conn, number, answer) in step.answers {
+            let full = self.callers.get(&conn).is_some_and(|c| c.try_send((number, answer)).is_err());
+            if full {
+                // Dropped: its task then closes the connection.
+                self.callers.remove(&conn);
+            }
+        }
+    }
+
+    /// Whether a keeper that calls has the disk that it had. Its start is kept before it is welcomed, so that this
+    /// keeper does not forget it either.
+    fn meet(&mut self, id: KeeperId, start: u64, process: u64, answer: oneshot::Sender<Result<(), String>>) {
+        let known = self.met.get(&id).copied().unwrap_or_default();
+        if id == self.keeper.member().own() || (start, process) != known && start <= known.0 {
+            let text = format!(
+                "keeper {}'s store has counted {start} starts and was met with {}: it is older, or two have a copy of it",
+                id.0, known.0
+            );
+            warn!(text, "caller refused");
+            let _ = answer.send(Err(text));
+            return;
+        }
+        self.met.insert(id, (start, process));
+        let (writes, met) = (Vec::new(), vec![(id, (start, process))]);
+        let _ = self.to_disk.send(ToDisk { writes, met, told: vec![answer] });
+    }
+
+    fn say(&mut self) {
+        let (member, now) = (self.keeper.member(), self.clock.now());
+        let state = (member.term().0, member.speaks(now), member.leader());
+        if self.said.replace(state) != Some(state) {
+            let leader = state.2.map(|l| l.0);
+            info!(term = state.0, leads = state.1, leader, applied = self.keeper.applied().0, "keeper");
+        }
+    }
+}
+
+/// Runs a keeper until it is told to end. Errors: what it cannot go on with.
+pub async fn serve(flags: KeeperFlags, store: Store, saved: Saved, start: u64) -> Result<(), String> {
+    let clock = Clock::starting_now();
+    let fault = |e: std::io::Error| format!("--listen {}: {e}", flags.listen);
+    let listener = TcpListener::bind(flags.listen).await.map_err(fault)?;
+    let address = listener.local_addr().map_err(fault)?;
+    let (seed, process) = (rand::rng().random(), rand::rng().random());
+    let met = store.starts().map_err(|f| f.to_string())?.into_iter().collect();
+    let terms = flags.terms();
+    let longest = Duration::from_micros(terms.lease.longest_contradiction() as u64);
+    info!(
+        keeper = flags.id,
+        %address,
+        start,
+        entries = saved.log.len(),
+        snapshot = saved.snapshot.upto.0,
+        term = saved.term.0,
+        ?longest,
+        "keeper starts; no two routers act on contradicting revisions for longer than one lease"
+    );
+    println!("listening on {address}");
+    let steps = Arc::new(Steps::new(flags.die_at));
+    let (core, mut arrivals) = mpsc::channel(ARRIVALS);
+    let (to_disk, orders) = std::sync::mpsc::channel();
+    {
+        let (core, steps) = (core.clone(), steps.clone());
+        std::thread::spawn(move || disk(store, orders, core, steps));
+    }
+    let own = KeeperId(flags.id);
+    let common = flags.common();
+    let caller = Caller::Keeper { id: own, start, process, common };
+    let keeper = Keeper::new(terms, seed, saved, clock.now())?;
+    let places = Arc::new(Semaphore::new(flags.callers_at_most));
+    let mut shell = Shell {
+        flags,
+        clock: clock.clone(),
+        keeper,
+        caller,
+        seed,
+        core: core.clone(),
+        callers: HashMap::new(),
+        peers: BTreeMap::new(),
+        met,
+        to_disk,
+        steps,
+        said: None,
+    };
+    let accepting = {
+        let (core, clock) = (core.clone(), clock.clone());
+        tokio::spawn(async move {
+            let mut conn = 0;
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(50)).await;
+                    continue;
+                };
+                // Without a place it is closed unheard: a router then tries another keeper.
+                let Ok(place) = places.clone().try_acquire_owned() else { continue };
+                conn += 1;
+                let (core, clock) = (core.clone(), clock.clone());
+                tokio::spawn(Call { conn, own, common, core, clock, _place: place }.run(stream));
+            }
+        })
+    };
+    let mut ending = std::pin::pin!(ended_by_signal());
+    let mut batch = Vec::with_capacity(AT_ONCE);
+    let ended = 'run: loop {
+        let wake = clock.at(shell.keeper.next_wake(clock.now()));
+        tokio::select! {
+            biased;
+            _ = &mut ending => break Ok(()),
+            _ = sleep_until(wake) => {}
+            _ = arrivals.recv_many(&mut batch, AT_ONCE) => {}
+        }
+        for arrival in batch.drain(..) {
+            let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
+            shell.keeper.wall_s = wall;
+            let (now, mut step) = (clock.now(), Step::default());
+            match arrival {
+                Arrival::Came(conn, answers) => {
+                    shell.callers.insert(conn, answers);
+                }
+                Arrival::Left(conn) => {
+                    shell.callers.remove(&conn);
+                }
+                Arrival::Asked { conn, number, keeper, ask } => {
+                    shell.keeper.asked(now, From { conn, number, keeper }, ask, &mut step);
+                }
+                Arrival::Heard(from, message) => shell.keeper.heard(now, from, message, &mut step),
+                Arrival::PassedBack(number, answer) => shell.keeper.passed_back(number, answer, &mut step),
+                Arrival::Met { id, start, process, answer } => shell.meet(id, start, process, answer),
+                Arrival::Synced(number) => shell.keeper.synced(now, number, &mut step),
+                // It may have voted and forgotten it: it must not vote again.
+                Arrival::OldDisk(text) => break 'run Err(text),
+                Arrival::DiskFails(what) => break 'run Err(what),
+            }
+            shell.carry_out(step);
+        }
+        let now = clock.now();
+        if now >= shell.keeper.next_wake(now) {
+            let mut step = Step::default();
+            shell.keeper.woken(now, &mut step);
+            shell.carry_out(step);
+        }
+        shell.say();
+    };
+    accepting.abort();
+    ended
+}
+
+async fn ended_by_signal() {
+    use tokio::signal::unix::{signal, SignalKind};
+    let Ok(mut term) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-keeper/src/steps.rs
@@ -0,0 +1,50 @@
+//! Places in the program at which tests let it die: each is named here once, and a test that walks [`WHERES`] cannot
+//! miss a new one.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Where {
+    /// Writes are handed to the disk's thread and none of them is on the disk.
+    BeforeSync,
+    /// They are on the disk, and nobody has been told.
+    AfterSync,
+    /// Messages of a step are made and none has been handed to its link.
+    BeforeSending,
+    /// Half of the messages of a step have been handed to their links.
+    WithinSending,
+    /// Answers of a step are made and none has left.
+    BeforeAnswering,
+    /// An entry has been applied.
+    Applied,
+}
+
+pub const WHERES: [(&str, Where); 6] = [
+    ("before-sync", Where::BeforeSync),
+    ("after-sync", Where::AfterSync),
+    ("before-sending", Where::BeforeSending),
+    ("within-sending", Where::WithinSending),
+    ("before-answering", Where::BeforeAnswering),
+    ("applied", Where::Applied),
+];
+
+/// Where to die, and at which passing of that place.
+#[derive(Debug)]
+pub struct Steps {
+    die_at: Option<(Where, u64)>,
+    passed: AtomicU64,
+}
+
+impl Steps {
+    pub fn new(die_at: Option<(Where, u64)>) -> Self {
+        Steps { die_at, passed: AtomicU64::new(0) }
+    }
+
+    pub fn pass(&self, at: Where) {
+        let Some((place, nth)) = self.die_at else { return };
+        if place == at && self.passed.fetch_add(1, Ordering::Relaxed) + 1 == nth {
+            // As by kill -9: nothing is flushed, no destructor runs.
+            std::process::abort();
+        }
+    }
+}
--- a/crates/spokeflow-quorum/src/member.rs
+++ b/crates/spokeflow-quorum/src/member.rs
@@ -104,6 +104,10 @@
         self.members = newest.or(kept).unwrap_or(&self.terms.members).clone();
     }
 
+    pub fn own(&self) -> KeeperId {
+        self.own
+    }
+
     pub fn members(&self) -> &[KeeperId] {
         &self.members
     }
--- /dev/null
+++ b/crates/spokeflow-router/src/arrival.rs
@@ -0,0 +1,21 @@
+use spokeflow_agreed::{AgreedTerms, RevisionNo};
+use spokeflow_core::Micros;
+use spokeflow_engine::Input;
+use spokeflow_proto::ToClient;
+use tokio::sync::mpsc;
+
+/// What reaches the task that owns the engine.
+pub enum Arrival {
+    Input(Input),
+    ClientOpened(u64, mpsc::Sender<ToClient>),
+    ClientGone(u64),
+    RouterOpened(u64, u32),
+    Told(u64, Vec<u8>),
+    /// From the keepers: what may be acted on until then, and the newest revision that it respects.
+    Agreed {
+        until: Micros,
+        terms: Box<AgreedTerms>,
+        revision: RevisionNo,
+    },
+    Close,
+}
--- a/crates/spokeflow-router/src/clients.rs
+++ b/crates/spokeflow-router/src/clients.rs
@@ -15,7 +15,7 @@
 
 use spokeflow_platform::Clock;
 
-use crate::serve::Arrival;
+use crate::arrival::Arrival;
 
 /// A peer that has connected says who it is within this time.
 const HELLO_WAIT: Duration = Duration::from_secs(5);
--- a/crates/spokeflow-router/src/hosts.rs
+++ b/crates/spokeflow-router/src/hosts.rs
@@ -19,7 +19,7 @@
 
 use spokeflow_platform::{Clock, Pauses};
 
-use crate::serve::Arrival;
+use crate::arrival::Arrival;
 
 /// Encoded and not yet taken by the system at most, beside what one message adds.
 const WRITE_AHEAD: usize = 16 << 10;
--- /dev/null
+++ b/crates/spokeflow-router/src/keepers.rs
@@ -0,0 +1,172 @@
+//! The link to the keepers: one at a time, asked for a lease every third of one, left for the next where it does not give
+//! one. Revisions are checked here and reach the engine as terms, together with the lease.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use rand::RngExt;
+use spokeflow_agreed::wire::{Answer, Ask, Caller, FromKeeper, ToKeeper, LIMIT};
+use spokeflow_agreed::{Holder, LeaseTerms, RevisionNo};
+use spokeflow_core::Micros;
+use spokeflow_platform::{Clock, Pauses};
+use spokeflow_proto::FrameCodec;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout, Instant};
+use tokio_util::codec::Framed;
+use tracing::{info, warn};
+
+use crate::arrival::Arrival;
+use crate::links::KEEPER_WAY;
+use crate::RouterTerms;
+
+/// A keeper that is not reached, or says nothing, for this long is left for the next.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+type Link = Framed<TcpStream, FrameCodec<FromKeeper, ToKeeper>>;
+
+pub struct KeeperLink {
+    terms: RouterTerms,
+    process: u64,
+    pauses: Pauses,
+    clock: Arc<Clock>,
+    core: mpsc::Sender<Arrival>,
+    applied: watch::Receiver<RevisionNo>,
+    holder: Option<Holder>,
+    /// The newest revision that does not fit this router: said once.
+    misfit: RevisionNo,
+}
+
+/// Why a keeper is left.
+enum Left {
+    Ending,
+    /// It does not answer, or knows no leader.
+    For(&'static str),
+}
+
+impl KeeperLink {
+    pub fn new(
+        terms: &RouterTerms,
+        seed: u64,
+        clock: Arc<Clock>,
+        core: mpsc::Sender<Arrival>,
+        applied: watch::Receiver<RevisionNo>,
+    ) -> Self {
+        let pauses = Pauses::new(seed, KEEPER_WAY, Duration::from_millis(50), Duration::from_millis(500));
+        // Not from the seed: two processes with one seed must not be taken for one.
+        let process = rand::rng().random();
+        let (terms, holder) = (terms.clone(), None);
+        KeeperLink { terms, process, pauses, clock, core, applied, holder, misfit: RevisionNo(0) }
+    }
+
+    pub async fn run(mut self) {
+        let n = self.terms.keepers.len();
+        // Spread over the keepers, each router with one of its own to begin with.
+        let mut turn = self.terms.index as usize;
+        let mut failures = 0;
+        loop {
+            let address = self.terms.keepers[turn % n];
+            let before = self.holder.as_ref().and_then(Holder::until);
+            let left = match timeout(PATIENCE, self.open(address)).await {
+                Ok(Some(link)) => self.talk(link).await,
+                _ => Left::For("not reached"),
+            };
+            let why = match left {
+                Left::Ending => return,
+                Left::For(why) => why,
+            };
+            let held = self.holder.as_ref().and_then(Holder::until);
+            failures = if held > before { 0 } else { failures + 1 };
+            if let Some(kept_back) = self.clock.line() {
+                let left_us = held.map_or(0, |until| until - self.clock.now());
+                warn!(keeper = %address, why, failures, left_us, kept_back, "keeper left for the next");
+            }
+            turn += 1;
+            sleep(self.pauses.after(failures)).await;
+        }
+    }
+
+    async fn open(&mut self, address: SocketAddr) -> Option<Link> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let mut link: Link = Framed::with_capacity(stream, FrameCodec::new(LIMIT), 1024);
+        link.send(ToKeeper::hello(Caller::Router { index: self.terms.index })).await.ok()?;
+        let Some(Ok(FromKeeper::Welcome { common, .. })) = link.next().await else { return None };
+        let terms = LeaseTerms { lease: common.lease_us as Micros, drift: common.drift };
+        if self.holder.is_none() {
+            info!(lease_us = common.lease_us, "follows keepers; longest contradiction is one lease");
+            self.holder = Some(Holder::new(terms, self.process, self.terms.index));
+        }
+        Some(link)
+    }
+
+    /// Asks for leases until the keeper gives none.
+    async fn talk(&mut self, mut link: Link) -> Left {
+        let Some(every) = self.holder.as_ref().map(Holder::every) else { return Left::For("no lease terms") };
+        let every = Duration::from_micros(every.max(1000) as u64);
+        let mut ask_at = Instant::now();
+        let mut unanswered: Option<Instant> = None;
+        loop {
+            let give_up = unanswered.map_or(ask_at + every * 2, |since| since + PATIENCE);
+            tokio::select! {
+                _ = tokio::time::sleep_until(ask_at) => {
+                    let Some(holder) = &mut self.holder else { return Left::For("no lease terms") };
+                    let (number, asked) = holder.ask(self.clock.now());
+                    let ask = ToKeeper::Ask { number, ask: Ask::Lease(asked) };
+                    if !matches!(timeout(PATIENCE, link.send(ask)).await, Ok(Ok(()))) {
+                        return Left::For("does not read");
+                    }
+                    unanswered = unanswered.or(Some(Instant::now()));
+                    ask_at = Instant::now() + every;
+                }
+                _ = tokio::time::sleep_until(give_up) => return Left::For("does not answer"),
+                read = link.next() => match read {
+                    Some(Ok(FromKeeper::Answer { number, answer: Answer::Granted(grant) })) => {
+                        unanswered = None;
+                        let Some(holder) = &mut self.holder else { return Left::For("no lease terms") };
+                        if holder.granted(number, *grant) && !self.act().await {
+                            return Left::Ending;
+                        }
+                    }
+                    Some(Ok(FromKeeper::Answer { .. })) => return Left::For("knows no leader"),
+                    Some(Ok(FromKeeper::Refused { .. })) => return Left::For("refuses"),
+                    _ => return Left::For("connection lost"),
+                },
+                changed = self.applied.changed() => {
+                    if changed.is_err() {
+                        return Left::Ending;
+                    }
+                    let revision = *self.applied.borrow_and_update();
+                    if let Some(holder) = &mut self.holder {
+                        // Said at once: the revision comes into force the sooner.
+                        ask_at = if holder.announced().is_some() { Instant::now() } else { ask_at };
+                        holder.acts_on(revision);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Hands the engine what may be acted on. `false`: it is no more.
+    async fn act(&mut self) -> bool {
+        let Some(holder) = &self.holder else { return true };
+        let Some(until) = holder.until() else { return true };
+        let revision = holder.newest();
+        match self.terms.agreed(holder.in_force(), holder.announced()) {
+            Ok(terms) => {
+                let terms = Box::new(terms);
+                self.core.send(Arrival::Agreed { until, terms, revision }).await.is_ok()
+            }
+            Err(faults) => {
+                // The lease binds to a revision that this router cannot act on: it acts on none.
+                if self.misfit != revision {
+                    self.misfit = revision;
+                    warn!(revision = revision.0, faults, "a revision does not fit: no lease is acted on");
+                }
+                true
+            }
+        }
+    }
+}
--- a/crates/spokeflow-router/src/lib.rs
+++ b/crates/spokeflow-router/src/lib.rs
@@ -3,16 +3,19 @@
 //! One task owns the engine ([`serve`]); connection tasks only move frames over bounded channels. Nothing on the
 //! path of a command takes a lock, writes to disk or waits for a peer.
 
+mod arrival;
 pub mod carry;
 mod clients;
 mod hosts;
+mod keepers;
 mod links;
-
 mod program;
+mod revision;
 mod serve;
 mod terms;
 
 pub use program::{main_with, RouterProgram};
+pub use revision::REVISABLE;
 pub use serve::{serve, Listening};
 pub use spokeflow_core::{Repeat, RepeatScope};
 pub use spokeflow_platform::start_log;
--- a/crates/spokeflow-router/src/links.rs
+++ b/crates/spokeflow-router/src/links.rs
@@ -19,18 +19,19 @@
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
 
+use crate::arrival::Arrival;
 use crate::hosts::LinkTerms;
-use crate::serve::Arrival;
 
 /// Numbers of the ways beside those to hosts, whose ids are below them.
 const LIST_WAY: u64 = 1 << 32;
 const DESK_WAY: u64 = LIST_WAY + 1;
-const PEER_WAYS: u64 = LIST_WAY + 2;
+pub const KEEPER_WAY: u64 = LIST_WAY + 2;
+const PEER_WAYS: u64 = LIST_WAY + 3;
 
-type Link<In, Out> = Framed<TcpStream, FrameCodec<In, Out>>;
+pub type Link<In, Out> = Framed<TcpStream, FrameCodec<In, Out>>;
 
 /// Connects, says who calls and waits for the welcome.
-async fn open<In, Out>(
+pub async fn open<In, Out>(
     address: SocketAddr,
     limit: usize,
     wait: Duration,
--- a/crates/spokeflow-router/src/serve.rs
+++ b/crates/spokeflow-router/src/serve.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use spokeflow_agreed::{AgreedTerms, RevisionNo};
 use spokeflow_core::{HostId, Micros};
 use spokeflow_engine::{Engine, Input, Links, Recording};
 use spokeflow_platform::Clock;
@@ -18,8 +19,10 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
+use crate::arrival::Arrival;
 use crate::clients::Client;
 use crate::hosts::{HostLink, LinkTerms, Listed};
+use crate::keepers::KeeperLink;
 use crate::links::{read_list, DeskLink, ListLink, PeerLink};
 use crate::RouterTerms;
 
@@ -32,16 +35,6 @@
 /// After the last answer, commands that were on their way are still nacked for this long.
 const LINGER: Duration = Duration::from_millis(250);
 
-/// What reaches the task that owns the engine.
-pub enum Arrival {
-    Input(Input),
-    ClientOpened(u64, mpsc::Sender<ToClient>),
-    ClientGone(u64),
-    RouterOpened(u64, u32),
-    Told(u64, Vec<u8>),
-    Close,
-}
-
 /// A port that has been taken.
 pub struct Listening {
     listener: TcpListener,
@@ -127,6 +120,10 @@
         self.hosts.insert(host, HostHandle { orders, listed: tell });
     }
 
+    fn drain_grace(&mut self, grace: Micros) {
+        self.drain_grace = Duration::from_micros(grace.max(0) as u64);
+    }
+
     fn host_closed(&mut self, host: HostId, gone: bool) {
         let Some(handle) = self.hosts.get(&host) else { return };
         let close_by = Instant::now() + self.drain_grace * 3 / 4;
@@ -179,6 +176,12 @@
     let desk_link =
         DeskLink { address: terms.desk, terms: asking(service.desk_counts), core: core.clone(), votes };
     helpers.spawn(desk_link.run());
+    // Told once the engine goes by a revision: only then may this router say that it acts on it.
+    let (acts_on, applied) = watch::channel(RevisionNo(0));
+    if !terms.keepers.is_empty() {
+        let link = KeeperLink::new(&terms, seed, clock.clone(), core.clone(), applied);
+        helpers.spawn(link.run());
+    }
     let mut peers = HashMap::new();
     for &(index, address) in &terms.peers {
         let (tell, texts) = mpsc::channel(FEW);
@@ -222,6 +225,11 @@
         }
         engine.take(now, input, wires);
     };
+    if !terms.keepers.is_empty() {
+        // Nothing has been granted yet.
+        let own = Box::new(AgreedTerms::of(&terms.engine().service));
+        give(&mut engine, &mut wires, Input::Agreed { until: clock.now(), terms: own });
+    }
     if let Some(file) = &terms.list_file {
         match read_list(file) {
             Ok(lines) => give(&mut engine, &mut wires, Input::Remembered(lines)),
@@ -272,6 +280,10 @@
                         give(&mut engine, &mut wires, Input::Told { router, text });
                     }
                 }
+                Arrival::Agreed { until, terms, revision } => {
+                    give(&mut engine, &mut wires, Input::Agreed { until, terms });
+                    acts_on.send_if_modified(|r| std::mem::replace(r, revision) != revision);
+                }
                 Arrival::Close => {
                     give(&mut engine, &mut wires, Input::Close);
                     wires.clients.values().for_each(|client| {
--- a/crates/spokeflow-router/src/terms.rs
+++ b/crates/spokeflow-router/src/terms.rs
@@ -11,7 +11,7 @@
 
 use spokeflow_platform::LogForm;
 
-fn span(text: &str) -> Result<Duration, String> {
+pub(crate) fn span(text: &str) -> Result<Duration, String> {
     humantime::parse_duration(text)
         .map_err(|e| format!("{e}; a time with its unit, such as 250ms or 1.2s"))
         .or_else(|fault| fraction_of_second(text).ok_or(fault))
@@ -159,6 +159,10 @@
     /// The release desk
     #[arg(long, env = "SPOKEFLOW_DESK")]
     pub desk: SocketAddr,
+    /// A keeper, whose revisions of the service terms this router then follows; repeat the flag for each. Without any
+    /// the router goes by its flags alone
+    #[arg(long = "keeper", env = "SPOKEFLOW_KEEPER", value_delimiter = ',')]
+    pub keepers: Vec<SocketAddr>,
     /// Another router of the deployment: INDEX=ADDRESS
     #[arg(long = "peer", env = "SPOKEFLOW_PEER", value_delimiter = ',', value_parser = peer)]
     pub peers: Vec<(u32, SocketAddr)>,
@@ -286,7 +290,7 @@
     )
 }
 
-fn customer(text: &str) -> Result<(String, f64), String> {
+pub(crate) fn customer(text: &str) -> Result<(String, f64), String> {
     let (name, share) = text.split_once('=').ok_or("not NAME=COMMANDS_A_SECOND")?;
     Ok((name.to_string(), share.parse().map_err(|_| format!("'{share}' is not a number"))?))
 }
@@ -302,7 +306,7 @@
 pub struct Faults(pub Vec<String>);
 
 impl Faults {
-    fn when(&mut self, wrong: bool, flag: &str, what: impl fmt::Display) {
+    pub(crate) fn when(&mut self, wrong: bool, flag: &str, what: impl fmt::Display) {
         if wrong {
             self.0.push(format!("--{flag}: {what}"));
         }
@@ -320,7 +324,7 @@
 }
 
 impl ServiceFlags {
-    fn check(&self, faults: &mut Faults) {
+    pub(crate) fn check(&self, faults: &mut Faults) {
         for op in &self.ops {
             let named = |what: &str| format!("op type '{}': {what}", op.name);
             faults.when(op.target.is_zero(), "op", named("target= is missing or nothing"));
