Fleet rig: keepers and routers as real processes, every link through a switchboard

spokeflow-standin fleet starts real keepers and routers; each link to a keeper passes a switchboard that reads frames and holds, loses, doubles, delays, reorders, tears, trickles and resets them by pair and direction. Drawn faults overlap: kills, stops, deaths at each named step, disks that fail, are old, torn or empty, keepers replaced, all keepers gone, cuts of all kinds. The checker reads frames, deliveries at hosts and answers at clients only: revisions against T, leases against their asking, reads and offers linearizable, one leader a term, no promise on another disk, rules 1 and 2.

--- a/crates/spokeflow-agreed/src/granter.rs
+++ b/crates/spokeflow-agreed/src/granter.rs
@@ -23,6 +23,15 @@
 pub struct Grant {
     pub in_force: Known,
     pub announced: Option<Known>,
+    /// Where the keepers that vote are to be found, where the router has it otherwise.
+    pub seats: Option<Seats>,
+}
+
+/// Addresses of keepers, and a number by which two such lists are told apart.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seats {
+    pub mark: u64,
+    pub addresses: Vec<String>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -49,7 +58,7 @@
     }
 
     /// To be called by a leader that speaks at this moment, only.
-    pub fn ask(&mut self, now: Micros, asked: &Asked, ledger: &Ledger) -> Grant {
+    pub fn ask(&mut self, now: Micros, asked: &Asked, ledger: &Ledger, seats: &Seats) -> Grant {
         self.leases.retain(|_, l| l.until > now);
         let until = now + self.terms.waits();
         let known = self.leases.get(&asked.process).map_or(RevisionNo(0), |l| l.acts_on);
@@ -64,7 +73,8 @@
             number: revision.number,
             revision: (!asked.knows.contains(&revision.number)).then(|| revision.clone()),
         };
-        Grant { in_force: tell(&ledger.in_force), announced: ledger.announced.as_ref().map(tell) }
+        let (in_force, announced) = (tell(&ledger.in_force), ledger.announced.as_ref().map(tell));
+        Grant { in_force, announced, seats: (asked.seats != seats.mark).then(|| seats.clone()) }
     }
 
     /// The announced revision, where every lease that was given without it is over, or its router has since said
--- a/crates/spokeflow-agreed/src/holder.rs
+++ b/crates/spokeflow-agreed/src/holder.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use spokeflow_core::Micros;
 
-use crate::{Grant, Known, LeaseTerms, Revision, RevisionNo};
+use crate::{Grant, Known, LeaseTerms, Revision, RevisionNo, Seats};
 
 /// Requests that are out at most; an answer to one that is forgotten gives nothing.
 const OUT: usize = 32;
@@ -21,6 +21,8 @@
     pub knows: [RevisionNo; 2],
     /// The newest revision that every one of its acts now respects.
     pub acts_on: RevisionNo,
+    /// Mark of the keepers' addresses that it has.
+    pub seats: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -34,13 +36,15 @@
     in_force: Revision,
     announced: Option<Revision>,
     acts_on: RevisionNo,
+    seats: Seats,
 }
 
 impl Holder {
     pub fn new(terms: LeaseTerms, process: u64, router: u32) -> Self {
         let (asked, in_force) = (VecDeque::new(), Revision::default());
         let (next, until, announced, acts_on) = (0, None, None, RevisionNo(0));
-        Holder { terms, process, router, asked, next, until, in_force, announced, acts_on }
+        let seats = Seats::default();
+        Holder { terms, process, router, asked, next, until, in_force, announced, acts_on, seats }
     }
 
     /// How often to ask: twice more may fail before the lease is over.
@@ -62,6 +66,11 @@
         self.announced.as_ref()
     }
 
+    /// Where keepers are to be found, as the leader said last.
+    pub fn seats(&self) -> &[String] {
+        &self.seats.addresses
+    }
+
     pub fn newest(&self) -> RevisionNo {
         self.announced.as_ref().map_or(self.in_force.number, |a| a.number)
     }
@@ -80,7 +89,7 @@
         }
         let knows = [self.in_force.number, self.newest()];
         let (process, router, acts_on) = (self.process, self.router, self.acts_on);
-        (self.next, Asked { process, router, knows, acts_on })
+        (self.next, Asked { process, router, knows, acts_on, seats: self.seats.mark })
     }
 
     /// Takes in the answer to a request. Whether lease or revisions are other than before; the caller acts on them
@@ -111,6 +120,7 @@
             },
         };
         (self.in_force, self.announced, self.until) = (in_force, announced, Some(until));
+        self.seats = grant.seats.unwrap_or(std::mem::take(&mut self.seats));
         true
     }
 }
--- a/crates/spokeflow-agreed/src/lib.rs
+++ b/crates/spokeflow-agreed/src/lib.rs
@@ -11,7 +11,7 @@
 mod terms;
 pub mod wire;
 
-pub use granter::{Grant, Granter, Known};
+pub use granter::{Grant, Granter, Known, Seats};
 pub use holder::{Asked, Holder};
 pub use ledger::{Act, Ledger, Offer, Record, Revision, RevisionNo, Values, Verdict};
 pub use terms::{AgreedTerms, LeaseTerms};
--- a/crates/spokeflow-agreed/tests/leases.rs
+++ b/crates/spokeflow-agreed/tests/leases.rs
@@ -88,7 +88,7 @@
                 What::Asks(n, number, asked) => {
                     let now = self.leader.as_ref().map(|l| self.leader_now(l.1));
                     if let (Some((granter, _)), Some(now)) = (&mut self.leader, now) {
-                        let grant = granter.ask(now, &asked, &self.ledger);
+                        let grant = granter.ask(now, &asked, &self.ledger, &Seats::default());
                         let process = asked.process;
                         self.post(What::Answers(n, process, number, grant));
                     }
@@ -223,7 +223,7 @@
     let (mut holder, mut ledger) = (Holder::new(TERMS, 1, 0), Ledger::default());
     let mut granter = Granter::new(TERMS, 0);
     let (first, asked) = holder.ask(0);
-    let early = granter.ask(0, &asked, &ledger);
+    let early = granter.ask(0, &asked, &ledger, &Seats::default());
     let offer = Offer {
         token: 1,
         against: RevisionNo(0),
@@ -234,7 +234,7 @@
     };
     ledger.apply(Act::Offer(offer));
     let (second, asked) = holder.ask(SECOND);
-    let late = granter.ask(SECOND, &asked, &ledger);
+    let late = granter.ask(SECOND, &asked, &ledger, &Seats::default());
     assert!(holder.granted(second, late.clone()));
     assert_eq!(holder.until(), Some(SECOND + TERMS.held()));
     assert!(!holder.granted(first, early), "overtaken");
--- a/crates/spokeflow-keeper/src/core.rs
+++ b/crates/spokeflow-keeper/src/core.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use spokeflow_agreed::wire::{Answer, Ask, ToKeeper, View};
-use spokeflow_agreed::{Act, Granter, LeaseTerms, Ledger, RevisionNo};
+use spokeflow_agreed::{Act, Granter, LeaseTerms, Ledger, RevisionNo, Seats};
 use spokeflow_core::Micros;
 use spokeflow_quorum::{Body, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Term, Write};
 
@@ -20,6 +20,8 @@
     pub own: KeeperId,
     pub quorum: QuorumTerms,
     pub lease: LeaseTerms,
+    /// Where keepers are to be found by the flags; the ledger has the others.
+    pub addresses: BTreeMap<KeeperId, String>,
 }
 
 /// Whom an answer is for: a connection, and the caller's number of its request.
@@ -53,6 +55,7 @@
     applied: Place,
     /// While it leads: for which term, and who holds leases.
     granter: Option<(Term, Granter)>,
+    seats: Seats,
     /// The revision that it has asked the log to put in force, and when.
     forcing: Option<(Term, RevisionNo)>,
     /// By token, offers that are in the log and not committed.
@@ -79,6 +82,7 @@
             ledger,
             applied,
             granter: None,
+            seats: Seats::default(),
             forcing: None,
             offers: BTreeMap::new(),
             passed: BTreeMap::new(),
@@ -95,6 +99,21 @@
         &self.member
     }
 
+    /// Where a keeper is to be found: as the flags say, else as the ledger does.
+    pub fn address(&self, id: KeeperId) -> Option<&str> {
+        self.terms.addresses.get(&id).or_else(|| self.ledger.seats.get(&id)).map(String::as_str)
+    }
+
+    /// Told to routers: those whose first keepers have all been replaced would else find none.
+    fn seat(&mut self) {
+        let members = self.member.members().iter();
+        let addresses: Vec<String> = members.filter_map(|m| self.address(*m)).map(str::to_string).collect();
+        if addresses != self.seats.addresses {
+            let mark = u64::from(crc32fast::hash(addresses.join(" ").as_bytes())) + 1;
+            self.seats = Seats { mark, addresses };
+        }
+    }
+
     pub fn applied(&self) -> Place {
         self.applied
     }
@@ -173,7 +192,7 @@
                 if *of != term {
                     (*of, *granter) = (term, Granter::new(lease, now));
                 }
-                Some(Answer::Granted(Box::new(granter.ask(now, &asked, &self.ledger))))
+                Some(Answer::Granted(Box::new(granter.ask(now, &asked, &self.ledger, &self.seats))))
             }
             Ask::Offer(offer) => {
                 if let Some(verdict) = self.ledger.verdict(offer.token) {
@@ -262,6 +281,7 @@
                 break;
             }
         }
+        self.seat();
         let ledger = &self.ledger;
         self.offers.retain(|token, waiting| {
             let Some(verdict) = ledger.verdict(*token) else { return true };
--- a/crates/spokeflow-keeper/src/program.rs
+++ b/crates/spokeflow-keeper/src/program.rs
@@ -137,6 +137,7 @@
                 drift: self.drift,
             },
             lease: LeaseTerms { lease: micros(self.lease), drift: self.drift },
+            addresses: self.members.iter().map(|m| (KeeperId(m.0), m.1.to_string())).collect(),
         }
     }
 
--- a/crates/spokeflow-keeper/src/serve.rs
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -89,7 +89,6 @@
 }
 
 struct Shell {
-    flags: KeeperFlags,
     clock: Arc<Clock>,
     keeper: Keeper,
     caller: Caller,
@@ -105,14 +104,8 @@
 }
 
 impl Shell {
-    /// Where a keeper is to be found: as the flags say, else as the ledger does.
-    fn address(&self, id: KeeperId) -> Option<SocketAddr> {
-        let told = self.flags.members.iter().find(|m| m.0 == id.0).map(|m| m.1);
-        told.or_else(|| self.keeper.ledger().seats.get(&id)?.parse().ok())
-    }
-
     fn say_to(&mut self, id: KeeperId, message: ToKeeper) {
-        let Some(address) = self.address(id) else { return };
+        let Some(address) = self.keeper.address(id).and_then(|a| a.parse().ok()) else { return };
         if self.peers.get(&id).is_none_or(|p| p.0 != address || p.1.is_closed()) {
             let (say, queue) = mpsc::channel(PEER_QUEUE);
             let pauses = Pauses::new(self.seed, u64::from(id.0), FIRST_PAUSE, LONGEST_PAUSE);
@@ -215,7 +208,6 @@
     let keeper = Keeper::new(terms, seed, saved, clock.now())?;
     let places = Arc::new(Semaphore::new(flags.callers_at_most));
     let mut shell = Shell {
-        flags,
         clock: clock.clone(),
         keeper,
         caller,
--- a/crates/spokeflow-router/src/keepers.rs
+++ b/crates/spokeflow-router/src/keepers.rs
@@ -62,12 +62,12 @@
     }
 
     pub async fn run(mut self) {
-        let n = self.terms.keepers.len();
         // Spread over the keepers, each router with one of its own to begin with.
         let mut turn = self.terms.index as usize;
         let mut failures = 0;
         loop {
-            let address = self.terms.keepers[turn % n];
+            let keepers = self.keepers();
+            let address = keepers[turn % keepers.len()];
             let before = self.holder.as_ref().and_then(Holder::until);
             let left = match timeout(PATIENCE, self.open(address)).await {
                 Ok(Some(link)) => self.talk(link).await,
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Those that the flags name, and those that have been taken in since.
+    fn keepers(&self) -> Vec<SocketAddr> {
+        let mut all = self.terms.keepers.clone();
+        let told = self.holder.iter().flat_map(|h| h.seats()).filter_map(|a| a.parse().ok());
+        all.extend(told.filter(|a| !self.terms.keepers.contains(a)).collect::<Vec<_>>());
+        all
+    }
+
     async fn open(&mut self, address: SocketAddr) -> Option<Link> {
         let stream = TcpStream::connect(address).await.ok()?;
         let _ = stream.set_nodelay(true);
--- /dev/null
+++ b/crates/spokeflow-standin/src/fleet/check.rs
@@ -0,0 +1,326 @@
+//! What must hold, from what crossed the switchboard, the hosts and the clients. Nothing that a process logs or says of
+//! itself beside its messages is read.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::Serialize;
+use spokeflow_agreed::wire::{Answer, Ask, FromKeeper, ToKeeper};
+use spokeflow_agreed::{Grant, Revision, Values, Verdict};
+use spokeflow_quorum::Message;
+
+use super::peers::{Asked, Delivered, Ended, NEW, ONCE, PATIENCE};
+use super::switchboard::{Crossed, Frame, Node};
+use crate::Micros;
+
+/// What may pass between an act and its being seen here.
+#[derive(Clone, Copy, Debug)]
+pub struct Slack(pub Micros);
+
+/// What the day did that the checker must know to judge it.
+#[derive(Default)]
+pub struct Done {
+    /// Routers that were stopped or not there: from, to.
+    pub away: Vec<(u32, Micros, Micros)>,
+    /// Keepers that ran on another disk than theirs.
+    pub other_disk: Vec<(u32, Micros, Micros)>,
+    /// From when on nothing was wrong any more.
+    pub mended: Micros,
+    pub end: Micros,
+    pub faults: Vec<String>,
+    /// What went wrong with the rig's own expectations, such as a process that did not start.
+    pub unexpected: Vec<String>,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    pub broken: Vec<String>,
+    pub faults: usize,
+    pub frames: usize,
+    pub revisions: usize,
+    pub leaders: usize,
+    pub commands: usize,
+    pub acked: usize,
+    pub nacked: usize,
+    pub failed: usize,
+    pub trial_deliveries: usize,
+    pub grants: usize,
+    pub refused_disks: usize,
+    /// Longest time for which a router acted against a revision that another may have acted on, and the bound.
+    pub longest_contradiction_us: Micros,
+    pub bound_us: Micros,
+    /// By which this program itself came late at most.
+    pub lag_us: Micros,
+    /// From the first word of a revision to its coming into force: the median and the longest.
+    pub in_force_p50_us: Micros,
+    pub in_force_max_us: Micros,
+}
+
+impl Report {
+    pub fn sound(&self) -> bool {
+        self.broken.is_empty()
+    }
+
+    pub fn text(&self) -> String {
+        let mut lines: Vec<String> = self.broken.iter().take(20).map(|b| format!("BROKEN {b}")).collect();
+        lines.push(format!(
+            "{} faults, {} frames, {} leaders, {} revisions, {} grants, {} disks refused",
+            self.faults, self.frames, self.leaders, self.revisions, self.grants, self.refused_disks
+        ));
+        lines.push(format!(
+            "{} commands: {} acked, {} nacked, {} failed; {} deliveries to the build on trial",
+            self.commands, self.acked, self.nacked, self.failed, self.trial_deliveries
+        ));
+        lines.push(format!(
+            "longest contradiction {} ms of {} ms; announced to in force {} ms (median), {} ms (longest); own lag {} ms",
+            self.longest_contradiction_us / 1000,
+            self.bound_us / 1000,
+            self.in_force_p50_us / 1000,
+            self.in_force_max_us / 1000,
+            self.lag_us / 1000
+        ));
+        lines.push(if self.sound() { "kept".into() } else { format!("{} BROKEN", self.broken.len()) });
+        lines.join("\n")
+    }
+}
+
+fn newest(grant: &Grant) -> u64 {
+    grant.announced.as_ref().map_or(grant.in_force.number.0, |a| a.number.0)
+}
+
+/// Whether a revision lets nothing go to the build on trial.
+pub fn closes(values: &Values) -> bool {
+    values.get("stage-cap").is_some_and(|caps| caps.split(',').all(|c| c.trim() == "0"))
+}
+
+struct Seen {
+    /// By revision: when first told of anywhere, and when first told to be in force.
+    told: BTreeMap<u64, Micros>,
+    forced: BTreeMap<u64, Micros>,
+    values: BTreeMap<u64, Values>,
+    /// By router: when a grant reached it, and until when its lease then ran at most.
+    leases: HashMap<u32, Vec<(Micros, Micros)>>,
+    grants: usize,
+    leaders: usize,
+}
+
+pub fn check(
+    frames: &[Frame],
+    delivered: &[Delivered],
+    asked: &HashMap<u64, Asked>,
+    done: &Done,
+    lease: Micros,
+    Slack(slack): Slack,
+) -> Report {
+    let mut broken = done.unexpected.clone();
+    let seen = read(frames, done, lease, &mut broken);
+    let mut report = Report { bound_us: lease, lag_us: slack, ..Report::default() };
+    acts(&seen, delivered, lease, slack, &mut report, &mut broken);
+    commands(delivered, asked, done, slack, &mut report, &mut broken);
+    let mut waits: Vec<Micros> =
+        seen.forced.iter().filter_map(|(n, at)| Some(at - seen.told.get(n)?)).collect();
+    waits.sort_unstable();
+    report.in_force_p50_us = waits.get(waits.len() / 2).copied().unwrap_or(0);
+    report.in_force_max_us = waits.last().copied().unwrap_or(0);
+    (report.faults, report.frames) = (done.faults.len(), frames.len());
+    (report.revisions, report.grants, report.leaders) = (seen.forced.len(), seen.grants, seen.leaders);
+    report.refused_disks = done.other_disk.len();
+    report.broken = broken;
+    report
+}
+
+/// Revisions and leases, and whether reads, offers and promises were as they must be.
+fn read(frames: &[Frame], done: &Done, lease: Micros, broken: &mut Vec<String>) -> Seen {
+    let mut seen = Seen {
+        told: BTreeMap::new(),
+        forced: BTreeMap::new(),
+        values: BTreeMap::from([(0, Values::new())]),
+        leases: HashMap::new(),
+        grants: 0,
+        leaders: 0,
+    };
+    let mut asks: HashMap<(u64, u64), (Micros, Node, &Ask)> = HashMap::new();
+    let mut verdicts: HashMap<u64, Verdict> = HashMap::new();
+    let mut tokens: HashMap<u64, u64> = HashMap::new();
+    let mut leaders: BTreeMap<u64, u32> = BTreeMap::new();
+    // What had been told, and been in force, by each instant: a later reader must not see less.
+    let mut most: Vec<(Micros, u64, u64)> = vec![(0, 0, 0)];
+    let mut order: Vec<&Frame> = frames.iter().collect();
+    order.sort_by_key(|f| f.at);
+    for frame in order {
+        match &frame.what {
+            Crossed::Up(ToKeeper::Ask { number, ask }) => {
+                asks.entry((frame.conn, *number)).or_insert((frame.at, frame.from, ask));
+            }
+            Crossed::Up(ToKeeper::Quorum(message)) => {
+                let Node::Keeper(from) = frame.from else { continue };
+                if let Message::Append { term, .. } | Message::Install { term, .. } = message {
+                    let first = *leaders.entry(term.0).or_insert(from);
+                    if first != from {
+                        broken.push(format!("keepers {first} and {from} both led in term {}", term.0));
+                    }
+                }
+                let promises = match message {
+                    Message::Vote { granted, sounded, .. } => *granted && !sounded,
+                    Message::Appended { upto, .. } => upto.is_ok(),
+                    _ => false,
+                };
+                let other = |d: &&(u32, Micros, Micros)| d.0 == from && (d.1..d.2).contains(&frame.at);
+                if promises && done.other_disk.iter().any(|d| other(&d)) {
+                    broken.push(format!(
+                        "keeper {from} promised on a disk that is not its own: {message:?} at {} ms",
+                        frame.at / 1000
+                    ));
+                }
+            }
+            Crossed::Down(FromKeeper::Answer { number, answer }) => {
+                let Some((asked_at, from, ask)) = asks.get(&(frame.conn, *number)) else { continue };
+                let mut tell = |told: u64, forced: u64| {
+                    let before = most.partition_point(|m| m.0 < *asked_at);
+                    let (_, t, f) = most[before.max(1) - 1];
+                    if told < t || forced < f {
+                        broken.push(format!(
+                            "{from:?} asked at {} ms and was told {told}/{forced}, after {t}/{f} had been told",
+                            asked_at / 1000
+                        ));
+                    }
+                    let last = *most.last().unwrap_or(&(0, 0, 0));
+                    most.push((frame.at, told.max(last.1), forced.max(last.2)));
+                    for n in 1..=told {
+                        seen.told.entry(n).or_insert(frame.at);
+                    }
+                    for n in 1..=forced {
+                        seen.forced.entry(n).or_insert(frame.at);
+                    }
+                };
+                let mut revisions: Vec<&Revision> = Vec::new();
+                match answer {
+                    Answer::Granted(grant) => {
+                        seen.grants += 1;
+                        tell(newest(grant), grant.in_force.number.0);
+                        let known = grant.announced.iter().chain([&grant.in_force]);
+                        revisions.extend(known.filter_map(|k| k.revision.as_ref()));
+                        if let (Node::Router(router), Some(on)) = (frame.to, frame.on) {
+                            seen.leases.entry(router).or_default().push((on, asked_at + lease));
+                        }
+                    }
+                    Answer::View(view) => {
+                        let newest = view.announced.as_ref().unwrap_or(&view.in_force).number.0;
+                        tell(newest, view.in_force.number.0);
+                        revisions.extend(view.announced.iter().chain([&view.in_force]));
+                        revisions.extend(view.history.iter().map(|h| &h.revision));
+                    }
+                    Answer::Offered(verdict) => {
+                        let Ask::Offer(offer) = ask else { continue };
+                        let before = *verdicts.entry(offer.token).or_insert(*verdict);
+                        if before != *verdict {
+                            broken.push(format!("one offer was told {before:?} and {verdict:?}"));
+                        }
+                        if let Verdict::Announced(n) = verdict {
+                            let token = *tokens.entry(n.0).or_insert(offer.token);
+                            if token != offer.token {
+                                broken.push(format!("revision {} was given to two offers", n.0));
+                            }
+                            let last = *most.last().unwrap_or(&(0, 0, 0));
+                            most.push((frame.at, n.0.max(last.1), last.2));
+                            seen.told.entry(n.0).or_insert(frame.at);
+                            seen.values.entry(n.0).or_insert_with(|| offer.values.clone());
+                        }
+                    }
+                    _ => {}
+                }
+                for revision in revisions {
+                    let known = seen.values.entry(revision.number.0);
+                    if *known.or_insert_with(|| revision.values.clone()) != revision.values {
+                        broken.push(format!("revision {} was told in two forms", revision.number.0));
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    seen.leaders = leaders.len();
+    seen.leases.values_mut().for_each(|l| l.sort_unstable());
+    seen
+}
+
+/// Deliveries to the build on trial, against leases and revisions.
+fn acts(
+    seen: &Seen,
+    delivered: &[Delivered],
+    lease: Micros,
+    slack: Micros,
+    report: &mut Report,
+    broken: &mut Vec<String>,
+) {
+    for d in delivered.iter().filter(|d| d.build == NEW) {
+        report.trial_deliveries += 1;
+        let held = seen
+            .leases
+            .get(&d.router)
+            .map_or(0, |leases| leases.iter().take_while(|l| l.0 <= d.at).map(|l| l.1).max().unwrap_or(0));
+        if d.at > held + slack {
+            broken.push(format!(
+                "router {} sent to the build on trial at {} ms, its lease was over at {} ms",
+                d.router,
+                d.at / 1000,
+                held / 1000
+            ));
+        }
+        // The newest revision that somebody may have acted on by then; a later one that opens is none before it is
+        // in force.
+        for (n, told) in seen.told.iter().filter(|t| *t.1 <= d.at && closes(&seen.values[t.0])) {
+            let opened = seen.forced.iter().any(|(m, at)| m > n && *at <= d.at);
+            if opened {
+                continue;
+            }
+            let since = d.at - told;
+            report.longest_contradiction_us = report.longest_contradiction_us.max(since);
+            if since > lease + slack {
+                broken.push(format!(
+                    "router {} sent to the build on trial at {} ms, {} ms after revision {n} had closed it",
+                    d.router,
+                    d.at / 1000,
+                    since / 1000
+                ));
+            }
+        }
+    }
+}
+
+/// One final answer for each command, in time; nothing twice that must not be.
+fn commands(
+    delivered: &[Delivered],
+    asked: &HashMap<u64, Asked>,
+    done: &Done,
+    slack: Micros,
+    report: &mut Report,
+    broken: &mut Vec<String>,
+) {
+    let mut runs: HashMap<u64, usize> = HashMap::new();
+    delivered.iter().for_each(|d| *runs.entry(d.command).or_default() += 1);
+    for (id, a) in asked {
+        report.commands += 1;
+        let times = runs.get(id).copied().unwrap_or(0);
+        match a.answers.first().map(|x| x.1) {
+            Some(Ended::Acked) => report.acked += 1,
+            Some(Ended::Nacked) => report.nacked += 1,
+            Some(Ended::Failed) => report.failed += 1,
+            None => {}
+        }
+        if a.answers.len() > 1 {
+            broken.push(format!("rule 1: command {id} had {} answers", a.answers.len()));
+        }
+        let by = a.at + PATIENCE + slack;
+        let away = done.away.iter().any(|w| w.0 == a.router && w.1 <= by && w.2 >= a.at);
+        let over = by < done.end;
+        if !away && over && !a.broken && a.answers.first().is_none_or(|x| x.0 > by) {
+            broken.push(format!("rule 1: command {id} of router {} had no answer in time", a.router));
+        }
+        if a.op == ONCE && times > 1 {
+            broken.push(format!("rule 2: command {id} was delivered {times} times"));
+        }
+        if a.op == ONCE && times > 0 && a.answers.first().is_some_and(|x| x.1 == Ended::Nacked) {
+            broken.push(format!("rule 2: command {id} was delivered and nacked"));
+        }
+    }
+}
--- a/crates/spokeflow-standin/src/lib.rs
+++ b/crates/spokeflow-standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod clients;
 pub mod day;
+pub mod fleet;
 pub mod hosts;
 pub mod load;
 pub mod office;
--- a/crates/spokeflow-standin/src/main.rs
+++ b/crates/spokeflow-standin/src/main.rs
@@ -3,8 +3,10 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use spokeflow_keeper::KeeperProgram;
 use spokeflow_router::{main_with, RouterProgram};
 use spokeflow_standin::day::play;
+use spokeflow_standin::fleet::{self, FleetTerms};
 use spokeflow_standin::load::{load, pass_through, LoadFlags};
 use spokeflow_standin::routers::Starting;
 use spokeflow_standin::scenario::flags::DayFlags;
@@ -24,6 +26,9 @@
     /// Plays a day on loopback sockets with real router processes and checks the five rules. Exit code 0: all
     /// kept; 1: one broken; 2: wrong use
     Day(Box<PlayFlags>),
+    /// Starts real keepers and routers with every link to a keeper through a switchboard, plays drawn faults between them
+    /// and checks from what crossed it. Exit code 0: all kept; 1: something broken; 2: wrong use
+    Fleet(FleetFlags),
     /// The kinds of trouble, one a line
     Troubles,
     /// Puts an open loop of commands on one router, beside a plain pass-through on the same codec in turn, and
@@ -38,6 +43,51 @@
     /// The router itself, as the day starts it
     #[command(hide = true)]
     Router(Box<RouterProgram>),
+    /// The keeper itself, as the rig starts it
+    #[command(hide = true)]
+    Keeper(Box<KeeperProgram>),
+}
+
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+enum Plan {
+    /// Revisions of settings under faults of keepers, routers and the ways between them
+    Settings,
+}
+
+#[derive(Args)]
+struct FleetFlags {
+    /// What is tried
+    #[arg(long, value_enum, default_value = "settings")]
+    plan: Plan,
+    #[arg(long, default_value_t = 24)]
+    routers: u32,
+    /// Keepers at the beginning: 3, 5 or 7
+    #[arg(long, default_value_t = 5)]
+    keepers: u32,
+    /// Draws the faults
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// For how long faults begin
+    #[arg(long, default_value = "40s", value_parser = humantime::parse_duration)]
+    lasts: std::time::Duration,
+    /// The routers' lease, which bounds every contradiction
+    #[arg(long, default_value = "1500ms", value_parser = humantime::parse_duration)]
+    lease: std::time::Duration,
+    /// Prints the report as JSON
+    #[arg(long)]
+    json: bool,
+    /// Keeps the processes' logs in this folder
+    #[arg(long)]
+    logs: Option<PathBuf>,
+    /// Which lines they log
+    #[arg(long, default_value = "info")]
+    log: String,
+    /// Keeps the keepers' stores in this folder
+    #[arg(long)]
+    stores: Option<PathBuf>,
+    /// Writes all frames that crossed the switchboard to this file, one a line
+    #[arg(long)]
+    trace: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -61,6 +111,15 @@
 fn main() -> ExitCode {
     match Program::parse().what {
         What::Router(program) => main_with(*program),
+        What::Keeper(program) => spokeflow_keeper::main_with(*program),
+        What::Fleet(flags) => match play_fleet(&flags) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::from(1),
+            Err(what) => {
+                eprintln!("spokeflow-standin: {what}");
+                ExitCode::from(2)
+            }
+        },
         What::Troubles => {
             Kind::ALL.iter().for_each(|kind| println!("{}", kind.name()));
             ExitCode::SUCCESS
@@ -134,3 +193,48 @@
     runtime.shutdown_background();
     Ok(report.sound())
 }
+
+fn play_fleet(flags: &FleetFlags) -> Result<bool, String> {
+    let Plan::Settings = flags.plan;
+    if ![3, 5, 7].contains(&flags.keepers) {
+        return Err(format!("--keepers {}: 3, 5 or 7", flags.keepers));
+    }
+    if flags.routers == 0 {
+        return Err("--routers: at least 1".into());
+    }
+    let mut starting = Starting::own().map_err(|e| e.to_string())?;
+    if let Some(folder) = &flags.logs {
+        std::fs::create_dir_all(folder).map_err(|e| format!("--logs {}: {e}", folder.display()))?;
+    }
+    starting.logs.clone_from(&flags.logs);
+    starting.log.clone_from(&flags.log);
+    let own = || std::env::temp_dir().join(format!("spokeflow-fleet-{}", std::process::id()));
+    let terms = FleetTerms {
+        routers: flags.routers,
+        keepers: flags.keepers,
+        seed: flags.seed,
+        lasts: flags.lasts,
+        script: Vec::new(),
+        lease: flags.lease,
+        silence: flags.lease / 5,
+        folder: flags.stores.clone().unwrap_or_else(own),
+        keep: flags.stores.is_some(),
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let progress = |at: Micros, what: &str| eprintln!("{:>7} ms  {what}", at / 1000);
+    let (report, frames, _) = runtime.block_on(fleet::play(terms, starting, progress))?;
+    if let Some(file) = &flags.trace {
+        let fault = |e: std::io::Error| format!("--trace {}: {e}", file.display());
+        let mut out = std::io::BufWriter::new(std::fs::File::create(file).map_err(fault)?);
+        for frame in &frames {
+            writeln!(out, "{frame:?}").map_err(fault)?;
+        }
+    }
+    match flags.json {
+        true => println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?),
+        false => println!("{}", report.text()),
+    }
+    runtime.shutdown_background();
+    Ok(report.sound())
+}
--- a/crates/spokeflow-standin/src/routers.rs
+++ b/crates/spokeflow-standin/src/routers.rs
@@ -85,6 +85,19 @@
         let _ = self.child.kill().await;
     }
 
+    /// Stopped as by SIGSTOP, or continued.
+    pub fn stop(&self, stopped: bool) {
+        if let Some(pid) = self.child.id() {
+            let signal = if stopped { Signal::SIGSTOP } else { Signal::SIGCONT };
+            let _ = kill(Pid::from_raw(pid as i32), signal);
+        }
+    }
+
+    /// Whether it has ended by itself, and its exit code then.
+    pub fn has_ended(&mut self) -> Option<Option<i32>> {
+        self.child.try_wait().ok().flatten().map(|status| status.code())
+    }
+
     /// Told to end. Answers how it ended; killed where it does not within `within`.
     pub async fn end(&mut self, within: Duration) -> Result<(), String> {
         if let Some(pid) = self.child.id() {
