--- a/crates/spokeflow-keeper/src/core.rs
+++ b/crates/spokeflow-agreed/src/keeper.rs
@@ -3,11 +3,12 @@
 
 use std::collections::BTreeMap;
 
-use spokeflow_agreed::wire::{Answer, Ask, ToKeeper, View};
-use spokeflow_agreed::{Act, Granter, LeaseTerms, Ledger, RevisionNo, Seats};
 use spokeflow_core::Micros;
 use spokeflow_quorum::{Body, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Term, Write};
 
+use crate::wire::{Answer, Ask, ToKeeper, View};
+use crate::{Act, Granter, LeaseTerms, Ledger, Offer, RevisionNo, Seats, Values};
+
 /// Entries beside the snapshot from which a new one is made.
 const KEPT: usize = 500;
 /// Requests that wait at most: beyond, one more is told that nobody leads.
@@ -15,18 +16,20 @@
 /// An offer that is not committed within this time is told to be unclear, and a request to another keeper given up.
 const PATIENCE: Micros = 2_000_000;
 
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct KeeperTerms {
     pub own: KeeperId,
     pub quorum: QuorumTerms,
     pub lease: LeaseTerms,
     /// Where keepers are to be found by the flags; the ledger has the others.
     pub addresses: BTreeMap<KeeperId, String>,
+    /// Whether routers could take these values. Errors: every fault.
+    pub check: fn(&Values) -> Result<(), String>,
 }
 
 /// Whom an answer is for: a connection, and the caller's number of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct From {
+pub struct Asker {
     pub conn: u64,
     pub number: u64,
     /// Whether another keeper passes it on: it is then not passed on again.
@@ -43,11 +46,13 @@
     pub changed: bool,
 }
 
+#[derive(Clone)]
 struct Waiting {
-    from: From,
+    from: Asker,
     until: Micros,
 }
 
+#[derive(Clone)]
 pub struct Keeper {
     terms: KeeperTerms,
     member: Member,
@@ -153,7 +158,7 @@
     }
 
     /// Takes in a request. It is answered in this step, or in a later one within [`PATIENCE`].
-    pub fn asked(&mut self, now: Micros, from: From, ask: Ask, step: &mut Step) {
+    pub fn asked(&mut self, now: Micros, from: Asker, ask: Ask, step: &mut Step) {
         let mut out = Out::default();
         // Asked at each act: this process may have been stopped since the last.
         let answer = match self.member.speaks(now) {
@@ -171,7 +176,7 @@
         }
     }
 
-    fn pass_on(&mut self, now: Micros, from: From, ask: Ask, step: &mut Step) -> Option<Answer> {
+    fn pass_on(&mut self, now: Micros, from: Asker, ask: Ask, step: &mut Step) -> Option<Answer> {
         let leader = self.member.leader().filter(|l| *l != self.terms.own);
         let Some(leader) = leader.filter(|_| !from.keeper && self.passed.len() < WAITING) else {
             return Some(Answer::NoLeader);
@@ -182,7 +187,7 @@
         None
     }
 
-    fn lead(&mut self, now: Micros, from: From, ask: Ask, out: &mut Out) -> Option<Answer> {
+    fn lead(&mut self, now: Micros, from: Asker, ask: Ask, out: &mut Out) -> Option<Answer> {
         match ask {
             Ask::Lease(asked) => {
                 let term = self.member.term();
@@ -198,14 +203,14 @@
                 if let Some(verdict) = self.ledger.verdict(offer.token) {
                     return Some(Answer::Offered(verdict));
                 }
-                if let Err(what) = crate::check::values(&offer.values) {
+                if let Err(what) = (self.terms.check)(&offer.values) {
                     return Some(Answer::Bad(what));
                 }
                 let token = offer.token;
                 let at_s = self.wall_s;
                 let waiting = self.offers.entry(token).or_default();
                 if waiting.is_empty() {
-                    let act = Act::Offer(spokeflow_agreed::Offer { at_s, ..offer });
+                    let act = Act::Offer(Offer { at_s, ..offer });
                     if self.member.offer(now, act.bytes(), out).is_err() {
                         self.offers.remove(&token);
                         return Some(Answer::NoLeader);
@@ -225,9 +230,7 @@
                 Some(self.member.offer(now, act.bytes(), out).map_or(Answer::NoLeader, |_| Answer::Begun))
             }
             Ask::Members(members) => {
-                let unknown = members
-                    .iter()
-                    .find(|m| !self.member.members().contains(m) && !self.ledger.seats.contains_key(m));
+                let unknown = members.iter().find(|m| self.address(**m).is_none());
                 if let Some(unknown) = unknown {
                     return Some(Answer::Bad(format!("keeper {} has no seat yet", unknown.0)));
                 }
--- a/crates/spokeflow-agreed/src/wire.rs
+++ b/crates/spokeflow-agreed/src/wire.rs
@@ -24,10 +24,11 @@
 pub enum Caller {
     Keeper {
         id: KeeperId,
-        /// Counted on its disk at each start; a keeper with an older one has lost what it promised since.
+        /// Counted on its disk at each start.
         start: u64,
-        /// Drawn at the start: two processes with one count have one disk, copied.
-        process: u64,
+        /// Numbers that its latest processes drew and kept on that disk, the present one last. A disk that lacks a
+        /// process which was met has lost what that one promised, however often it has been started since.
+        processes: Vec<u64>,
         common: Common,
     },
     Router {
--- a/crates/spokeflow-emulator/src/lib.rs
+++ b/crates/spokeflow-emulator/src/lib.rs
@@ -2,12 +2,14 @@
 //! clients and troubles of `spokeflow-scenario` around them. No I/O, no clock; discrete events in whole
 //! microseconds, those of one microsecond in the order in which they were planned. Equal days give equal bytes.
 
+mod agreement;
 mod brain;
 mod pair;
 mod plain;
 mod terms;
 mod world;
 
+pub use agreement::{play_agreement, AgreementDay, AgreementPlayed};
 pub use brain::{Brain, Look, Who, Wiring};
 pub use terms::engine_terms;
 pub use world::{play, play_with, Played, Watch};
--- a/crates/spokeflow-keeper/src/lib.rs
+++ b/crates/spokeflow-keeper/src/lib.rs
@@ -4,14 +4,12 @@
 pub mod ask;
 mod calls;
 pub mod check;
-mod core;
 mod peers;
 mod program;
 mod serve;
 mod steps;
 mod store;
 
-pub use core::{From, Keeper, KeeperTerms, Step};
 pub use program::{main_with, KeeperFlags, KeeperProgram};
 pub use serve::serve;
 pub use steps::{Where, WHERES};
--- a/crates/spokeflow-keeper/src/program.rs
+++ b/crates/spokeflow-keeper/src/program.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use clap::{Args, Parser};
+use rand::RngExt;
 use spokeflow_agreed::wire::Common;
-use spokeflow_agreed::LeaseTerms;
+use spokeflow_agreed::{KeeperTerms, LeaseTerms};
 use spokeflow_core::Micros;
 use spokeflow_platform::{start_log, LogForm};
 use spokeflow_quorum::{KeeperId, QuorumTerms};
 
-use crate::{serve, KeeperTerms, Store, Where, WHERES};
+use crate::{check, serve, Store, Where, WHERES};
 
 fn span(text: &str) -> Result<Duration, String> {
     humantime::parse_duration(text).map_err(|e| format!("{e}; a time with its unit, such as 250ms or 2s"))
@@ -138,6 +139,7 @@
             },
             lease: LeaseTerms { lease: micros(self.lease), drift: self.drift },
             addresses: self.members.iter().map(|m| (KeeperId(m.0), m.1.to_string())).collect(),
+            check: check::values,
         }
     }
 
@@ -162,8 +164,10 @@
         eprintln!("spokeflow-keeper: {fault}");
         return ExitCode::from(2);
     }
-    let opened = Store::open(&flags.store, flags.fleet, KeeperId(flags.id), flags.fail_writes_from);
-    let (store, saved, start) = match opened {
+    let process = rand::rng().random();
+    let own = KeeperId(flags.id);
+    let opened = Store::open(&flags.store, flags.fleet, own, flags.fail_writes_from, process);
+    let (store, saved, start, processes) = match opened {
         Ok(opened) => opened,
         Err(fault) => {
             eprintln!("spokeflow-keeper: --store {}: {fault}", flags.store.display());
@@ -177,7 +181,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(serve(flags, store, saved, start)) {
+    match runtime.block_on(serve(flags, store, saved, (start, processes))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("spokeflow-keeper: {what}");
--- a/crates/spokeflow-keeper/src/serve.rs
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -7,6 +7,7 @@
 
 use rand::RngExt;
 use spokeflow_agreed::wire::{Answer, Ask, Caller, ToKeeper};
+use spokeflow_agreed::{Asker, Keeper, Step};
 use spokeflow_platform::{Clock, Pauses};
 use spokeflow_quorum::{KeeperId, Message, Saved, Write};
 use tokio::net::TcpListener;
@@ -17,8 +18,8 @@
 use crate::calls::Call;
 use crate::peers::{PeerLink, FIRST_PAUSE, LONGEST_PAUSE};
 use crate::steps::{Steps, Where};
-use crate::store::Start;
-use crate::{From, Keeper, KeeperFlags, Step, Store};
+use crate::store::{Start, PROCESSES};
+use crate::{KeeperFlags, Store};
 
 /// Arrivals that wait at most; a task whose arrival finds no room waits, and so does its peer.
 const ARRIVALS: usize = 4096;
@@ -41,7 +42,7 @@
     Met {
         id: KeeperId,
         start: u64,
-        process: u64,
+        processes: Vec<u64>,
         answer: oneshot::Sender<Result<(), String>>,
     },
     /// Another keeper says that this one's disk is old.
@@ -105,21 +106,14 @@
 
 impl Shell {
     fn say_to(&mut self, id: KeeperId, message: ToKeeper) {
-        let Some(address) = self.keeper.address(id).and_then(|a| a.parse().ok()) else { return };
-        if self.peers.get(&id).is_none_or(|p| p.0 != address || p.1.is_closed()) {
-            let (say, queue) = mpsc::channel(PEER_QUEUE);
-            let pauses = Pauses::new(self.seed, u64::from(id.0), FIRST_PAUSE, LONGEST_PAUSE);
-            let (caller, core) = (self.caller.clone(), self.core.clone());
-            tokio::spawn(PeerLink { id, address, caller, pauses, core, queue }.run());
-            self.peers.insert(id, (address, say));
-        }
         // What finds no room is lost: the other does not read, or is not there.
-        let _ = self.peers[&id].1.try_send(message);
+        let _ = self.link(id).map(|say| say.try_send(message));
     }
 
     fn carry_out(&mut self, step: Step) {
         if step.changed {
             self.steps.pass(Where::Applied);
+            self.reach();
         }
         if !step.writes.is_empty() {
             let _ = self.to_disk.send(ToDisk { writes: step.writes, met: Vec::new(), told: Vec::new() });
@@ -148,11 +142,21 @@
 
     /// Whether a keeper that calls has the disk that it had. Its start is kept before it is welcomed, so that this
     /// keeper does not forget it either.
-    fn meet(&mut self, id: KeeperId, start: u64, process: u64, answer: oneshot::Sender<Result<(), String>>) {
+    fn meet(
+        &mut self,
+        id: KeeperId,
+        start: u64,
+        processes: &[u64],
+        answer: oneshot::Sender<Result<(), String>>,
+    ) {
         let known = self.met.get(&id).copied().unwrap_or_default();
-        if id == self.keeper.member().own() || (start, process) != known && start <= known.0 {
+        // One that was not met for long has forgotten by now which process that was.
+        let remembers = start.saturating_sub(known.0) >= PROCESSES as u64 || processes.contains(&known.1);
+        let (process, own) = (processes.last().copied().unwrap_or(0), id == self.keeper.member().own());
+        if own || known != (0, 0) && (start < known.0 || !remembers) {
             let text = format!(
-                "keeper {}'s store has counted {start} starts and was met with {}: it is older, or two have a copy of it",
+                "the store of keeper {}, at start {start}, does not know of its start {}, which was met: it is an older \
+                 copy, and may not vote; take this keeper out, and add one with a new number and an empty store",
                 id.0, known.0
             );
             warn!(text, "caller refused");
@@ -164,6 +168,27 @@
         let _ = self.to_disk.send(ToDisk { writes, met, told: vec![answer] });
     }
 
+    /// All who vote are called at once, not when there is something to say: a start that only a few have met could be
+    /// taken back unseen.
+    fn reach(&mut self) {
+        let (members, own) = (self.keeper.member().members().to_vec(), self.keeper.member().own());
+        for member in members.into_iter().filter(|m| *m != own) {
+            self.link(member);
+        }
+    }
+
+    fn link(&mut self, id: KeeperId) -> Option<&mpsc::Sender<ToKeeper>> {
+        let address = self.keeper.address(id).and_then(|a| a.parse().ok())?;
+        if self.peers.get(&id).is_none_or(|p| p.0 != address || p.1.is_closed()) {
+            let (say, queue) = mpsc::channel(PEER_QUEUE);
+            let pauses = Pauses::new(self.seed, u64::from(id.0), FIRST_PAUSE, LONGEST_PAUSE);
+            let (caller, core) = (self.caller.clone(), self.core.clone());
+            tokio::spawn(PeerLink { id, address, caller, pauses, core, queue }.run());
+            self.peers.insert(id, (address, say));
+        }
+        self.peers.get(&id).map(|p| &p.1)
+    }
+
     fn say(&mut self) {
         let (member, now) = (self.keeper.member(), self.clock.now());
         let state = (member.term().0, member.speaks(now), member.leader());
@@ -175,12 +200,17 @@
 }
 
 /// Runs a keeper until it is told to end. Errors: what it cannot go on with.
-pub async fn serve(flags: KeeperFlags, store: Store, saved: Saved, start: u64) -> Result<(), String> {
+pub async fn serve(
+    flags: KeeperFlags,
+    store: Store,
+    saved: Saved,
+    (start, processes): (u64, Vec<u64>),
+) -> Result<(), String> {
     let clock = Clock::starting_now();
     let fault = |e: std::io::Error| format!("--listen {}: {e}", flags.listen);
     let listener = TcpListener::bind(flags.listen).await.map_err(fault)?;
     let address = listener.local_addr().map_err(fault)?;
-    let (seed, process) = (rand::rng().random(), rand::rng().random());
+    let seed = rand::rng().random();
     let met = store.starts().map_err(|f| f.to_string())?.into_iter().collect();
     let terms = flags.terms();
     let longest = Duration::from_micros(terms.lease.longest_contradiction() as u64);
@@ -204,7 +234,7 @@
     }
     let own = KeeperId(flags.id);
     let common = flags.common();
-    let caller = Caller::Keeper { id: own, start, process, common };
+    let caller = Caller::Keeper { id: own, start, processes, common };
     let keeper = Keeper::new(terms, seed, saved, clock.now())?;
     let places = Arc::new(Semaphore::new(flags.callers_at_most));
     let mut shell = Shell {
@@ -220,6 +250,7 @@
         steps,
         said: None,
     };
+    shell.reach();
     let accepting = {
         let (core, clock) = (core.clone(), clock.clone());
         tokio::spawn(async move {
@@ -259,11 +290,11 @@
                     shell.callers.remove(&conn);
                 }
                 Arrival::Asked { conn, number, keeper, ask } => {
-                    shell.keeper.asked(now, From { conn, number, keeper }, ask, &mut step);
+                    shell.keeper.asked(now, Asker { conn, number, keeper }, ask, &mut step);
                 }
                 Arrival::Heard(from, message) => shell.keeper.heard(now, from, message, &mut step),
                 Arrival::PassedBack(number, answer) => shell.keeper.passed_back(number, answer, &mut step),
-                Arrival::Met { id, start, process, answer } => shell.meet(id, start, process, answer),
+                Arrival::Met { id, start, processes, answer } => shell.meet(id, start, &processes, answer),
                 Arrival::Synced(number) => shell.keeper.synced(now, number, &mut step),
                 // It may have voted and forgotten it: it must not vote again.
                 Arrival::OldDisk(text) => break 'run Err(text),
--- a/crates/spokeflow-keeper/src/store.rs
+++ b/crates/spokeflow-keeper/src/store.rs
@@ -18,6 +18,9 @@
 /// A start of a keeper: how many its store had counted, and the number that its process drew.
 pub type Start = (u64, u64);
 
+/// Processes that a store remembers.
+pub const PROCESSES: usize = 24;
+
 pub struct Store {
     db: Database,
     file: PathBuf,
@@ -76,21 +79,22 @@
 }
 
 impl Store {
-    /// Opens or makes the store of this keeper of this fleet, and counts the start. Answers what the keeper starts
-    /// from and the count.
+    /// Opens or makes the store of this keeper of this fleet, counts the start and notes its process. Answers what the
+    /// keeper starts from, the count, and the latest processes, this one last.
     pub fn open(
         file: &Path,
         fleet: u64,
         own: KeeperId,
         fails_from: Option<u64>,
-    ) -> Result<(Store, Saved, u64), StoreFault> {
+        process: u64,
+    ) -> Result<(Store, Saved, u64, Vec<u64>), StoreFault> {
         if let Some(folder) = file.parent().filter(|f| !f.as_os_str().is_empty()) {
             disk!(std::fs::create_dir_all(folder));
         }
         let db = Database::create(file).map_err(|e| StoreFault::NotOne(e.to_string()))?;
         let store = Store { db, file: file.to_path_buf(), fails_from, writes: 0 };
         let write = disk!(store.db.begin_write());
-        let start: u64;
+        let (start, processes): (u64, Vec<u64>);
         {
             let mut meta = disk!(write.open_table(META));
             disk!(write.open_table(LOG));
@@ -99,13 +103,16 @@
             if let Some((f, id)) = whose.filter(|w| *w != (fleet, own)) {
                 return Err(StoreFault::Foreign(format!("it is keeper {}'s of fleet {f}", id.0)));
             }
-            start = read::<u64>(&meta, "starts")?.unwrap_or(0) + 1;
+            let (before, mut all) = read::<(u64, Vec<u64>)>(&meta, "starts")?.unwrap_or_default();
+            all.push(process);
+            all.drain(..all.len().saturating_sub(PROCESSES));
+            (start, processes) = (before + 1, all);
             disk!(meta.insert("whose", sealed(&(fleet, own)).as_slice()));
-            disk!(meta.insert("starts", sealed(&start).as_slice()));
+            disk!(meta.insert("starts", sealed(&(start, &processes)).as_slice()));
         }
         disk!(write.commit());
         let saved = store.saved()?;
-        Ok((store, saved, start))
+        Ok((store, saved, start, processes))
     }
 
     pub fn file(&self) -> &Path {
--- a/crates/spokeflow-lab/src/lib.rs
+++ b/crates/spokeflow-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! The lab: many days in simulated time, kept in a store, as tables and as charts.
 
 pub mod agree;
+pub mod agreement;
 pub mod alone;
 pub mod charts;
 pub mod compare;
--- a/crates/spokeflow-lab/src/main.rs
+++ b/crates/spokeflow-lab/src/main.rs
@@ -5,7 +5,7 @@
 use spokeflow_emulator::{play, Who};
 use spokeflow_lab::plan::{MatrixFlags, Seeds, Terms, Which};
 use spokeflow_lab::store::{Store, Stored};
-use spokeflow_lab::{agree, alone, charts, compare, hunt, sweep, tables};
+use spokeflow_lab::{agree, agreement, alone, charts, compare, hunt, sweep, tables};
 use spokeflow_router::{main_with, RouterProgram};
 use spokeflow_scenario::flags::{DayFlags, SizeFlags};
 use spokeflow_scenario::scenario::{Scenario, Size};
@@ -35,6 +35,9 @@
     Hunt(Box<HuntFlags>),
     /// Plays the same days on sockets, with real routers, and in simulated time, and says how far both agree
     Agree(Box<AgreeFlags>),
+    /// Plays drawn days of keepers and the routers that follow them, and says whether any two contradicted each other
+    /// for longer than a lease. Exit code 1: they did
+    Agreement(agreement::AgreementFlags),
     /// Tables and charts of a store
     Report(ReportFlags),
     /// What routers that each judge alone could know of a build at best, and one that hears all of them
@@ -201,6 +204,7 @@
             print!("{}", alone::text(&flags));
             Ok(true)
         }
+        What::Agreement(flags) => Ok(agreement::agreement(&flags)),
         What::Load(flags) => load(&flags).map(|()| true),
         What::Pass { host } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/spokeflow-standin/src/fleet/play.rs
+++ b/crates/spokeflow-standin/src/fleet/play.rs
@@ -11,6 +11,7 @@
 use spokeflow_agreed::wire::{Answer, Ask};
 use spokeflow_agreed::{Offer, RevisionNo, Values};
 use spokeflow_keeper::ask::{ask, ask_one};
+use spokeflow_keeper::Store;
 use spokeflow_quorum::KeeperId;
 use tokio::time::{sleep, Instant};
 
@@ -66,6 +67,16 @@
     let _ = std::fs::copy(from, to);
 }
 
+/// Whether two stores hold the same; they are copied first, since opening counts a start.
+fn same(keeper: u32, fleet: u64, a: &Path, b: &Path) -> bool {
+    let read = |store: &Path| {
+        let look = store.with_extension("look");
+        copy(store, &look);
+        Store::open(&look, fleet, KeeperId(keeper), None, 0).ok().map(|(_, saved, start, _)| (saved, start))
+    };
+    read(a).is_some_and(|saved| Some(saved) == read(b))
+}
+
 impl Stage {
     fn now(&self) -> Micros {
         self.board.now()
@@ -283,6 +294,10 @@
                 }
             }
         }
+        // Where nothing was missing in the part that is gone, it is its own disk still.
+        if *disk == Disk::Torn && same(keeper, self.terms.seed, store, own) {
+            return;
+        }
         let from = self.now();
         // It may refuse to start at all, or end once it is told; or nobody is there to tell it.
         if self.start_keeper(keeper, &[]).await.is_ok() {
