--- a/crates/spokeflow-agreed/src/holder.rs
+++ b/crates/spokeflow-agreed/src/holder.rs
@@ -101,9 +101,8 @@
         let until = at + self.terms.held();
         let newest = grant.announced.as_ref().map_or(grant.in_force.number, |a| a.number);
         // An answer that was overtaken gives nothing back.
-        if (grant.in_force.number, newest) < (self.in_force.number, self.newest())
-            || Some(until) <= self.until
-        {
+        let (told, has) = ((grant.in_force.number, newest), (self.in_force.number, self.newest()));
+        if told < has || Some(until) < self.until || told == has && Some(until) == self.until {
             return false;
         }
         let whole = |known: &Known| match &known.revision {
--- a/crates/spokeflow-agreed/src/keeper.rs
+++ b/crates/spokeflow-agreed/src/keeper.rs
@@ -16,7 +16,7 @@
 /// An offer that is not committed within this time is told to be unclear, and a request to another keeper given up.
 const PATIENCE: Micros = 2_000_000;
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct KeeperTerms {
     pub own: KeeperId,
     pub quorum: QuorumTerms,
@@ -46,13 +46,13 @@
     pub changed: bool,
 }
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 struct Waiting {
     from: Asker,
     until: Micros,
 }
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Keeper {
     terms: KeeperTerms,
     member: Member,
