--- a/crates/spokeflow-lab/src/main.rs
+++ b/crates/spokeflow-lab/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use spokeflow_emulator::{play, Who};
+use spokeflow_keeper::KeeperProgram;
 use spokeflow_lab::plan::{MatrixFlags, Seeds, Terms, Which};
 use spokeflow_lab::store::{Store, Stored};
 use spokeflow_lab::{agree, agreement, alone, charts, compare, hunt, sweep, tables};
@@ -51,6 +52,8 @@
     },
     #[command(hide = true)]
     Router(Box<RouterProgram>),
+    #[command(hide = true)]
+    Keeper(Box<KeeperProgram>),
 }
 
 #[derive(Args)]
@@ -194,6 +197,7 @@
 fn main() -> ExitCode {
     let done = match Program::parse().what {
         What::Router(program) => return main_with(*program),
+        What::Keeper(program) => return spokeflow_keeper::main_with(*program),
         What::Run(flags) => run(&flags),
         What::Sweep(flags) => sweep_days(&flags),
         What::Compare(flags) => compare_days(&flags).map(|()| true),
--- a/crates/spokeflow-standin/src/fleet/check.rs
+++ b/crates/spokeflow-standin/src/fleet/check.rs
@@ -27,6 +27,7 @@
     pub mended: Micros,
     pub end: Micros,
     pub faults: Vec<String>,
+    pub leaders_killed: Vec<Micros>,
     /// What went wrong with the rig's own expectations, such as a process that did not start.
     pub unexpected: Vec<String>,
 }
@@ -52,7 +53,13 @@
     pub lag_us: Micros,
     /// From the first word of a revision to its coming into force: the median and the longest.
     pub in_force_p50_us: Micros,
+    pub in_force_p99_us: Micros,
     pub in_force_max_us: Micros,
+    /// From the kill of a leader to the first word of the next one: the median and the longest.
+    pub leaderless_p50_us: Micros,
+    pub leaderless_max_us: Micros,
+    /// Bytes a second between a router and its keepers, both ways, in the mean.
+    pub router_bytes_per_s: f64,
 }
 
 impl Report {
@@ -120,7 +127,18 @@
         seen.forced.iter().filter_map(|(n, at)| Some(at - seen.told.get(n)?)).collect();
     waits.sort_unstable();
     report.in_force_p50_us = waits.get(waits.len() / 2).copied().unwrap_or(0);
+    report.in_force_p99_us = waits.get(waits.len() * 99 / 100).copied().unwrap_or(0);
     report.in_force_max_us = waits.last().copied().unwrap_or(0);
+    let mut gaps: Vec<Micros> =
+        done.leaders_killed.iter().filter_map(|at| Some(next_leader(frames, *at)? - at)).collect();
+    gaps.sort_unstable();
+    report.leaderless_p50_us = gaps.get(gaps.len() / 2).copied().unwrap_or(0);
+    report.leaderless_max_us = gaps.last().copied().unwrap_or(0);
+    let routers: std::collections::HashSet<Node> =
+        frames.iter().flat_map(|f| [f.from, f.to]).filter(|n| matches!(n, Node::Router(_))).collect();
+    let of_routers = frames.iter().filter(|f| routers.contains(&f.from) || routers.contains(&f.to));
+    let bytes: usize = of_routers.map(|f| f.bytes).sum();
+    report.router_bytes_per_s = bytes as f64 / routers.len().max(1) as f64 / (done.end.max(1) as f64 / 1e6);
     (report.faults, report.frames) = (done.faults.len(), frames.len());
     (report.revisions, report.grants, report.leaders) = (seen.forced.len(), seen.grants, seen.leaders);
     report.refused_disks = done.other_disk.len();
@@ -128,6 +146,18 @@
     report
 }
 
+/// When the first leader spoke whose term is later than any before `at`.
+fn next_leader(frames: &[Frame], at: Micros) -> Option<Micros> {
+    let term = |f: &Frame| match &f.what {
+        Crossed::Up(ToKeeper::Quorum(Message::Append { term, .. } | Message::Install { term, .. })) => {
+            Some(term.0)
+        }
+        _ => None,
+    };
+    let before = frames.iter().filter(|f| f.at <= at).filter_map(term).max()?;
+    frames.iter().filter(|f| f.at > at && term(f).is_some_and(|t| t > before)).map(|f| f.at).min()
+}
+
 /// Revisions and leases, and whether reads, offers and promises were as they must be.
 fn read(frames: &[Frame], done: &Done, lease: Micros, broken: &mut Vec<String>) -> Seen {
     let mut seen = Seen {
--- a/crates/spokeflow-standin/src/fleet/plan.rs
+++ b/crates/spokeflow-standin/src/fleet/plan.rs
@@ -25,6 +25,10 @@
         down: Duration,
         disk: Disk,
     },
+    /// Whichever leads then.
+    KillLeader {
+        down: Duration,
+    },
     /// Started so that it dies at a step of its own.
     DieAt {
         keeper: u32,
--- a/crates/spokeflow-standin/src/fleet/play.rs
+++ b/crates/spokeflow-standin/src/fleet/play.rs
@@ -36,6 +36,10 @@
     /// For stores, kept where it is named.
     pub folder: PathBuf,
     pub keep: bool,
+    /// Nothing fails, and one revision is offered as soon as the one before is in force.
+    pub peace: bool,
+    /// Between two commands of one client.
+    pub pace: Duration,
 }
 
 struct KeeperSeat {
@@ -194,6 +198,20 @@
                 self.again(keeper).await;
                 self.let_go(keeper).await;
             }
+            Fault::KillLeader { down } => {
+                let known = self.known().await;
+                let Ok(Answer::View(view)) = ask(&known, Ask::View, Duration::from_secs(5)).await else {
+                    return;
+                };
+                if !self.hold(view.leader.0).await {
+                    return;
+                }
+                self.kill_keeper(view.leader.0).await;
+                self.done.lock().expect("no holder panics").leaders_killed.push(self.now());
+                sleep(down).await;
+                self.again(view.leader.0).await;
+                self.let_go(view.leader.0).await;
+            }
             Fault::DieAt { keeper, place } => self.ends_by_itself(keeper, format!("--die-at={place}")).await,
             Fault::DiskFails { keeper, after } => {
                 self.ends_by_itself(keeper, format!("--fail-writes-from={after}")).await;
@@ -397,14 +415,15 @@
         loop {
             // Open for long enough to be used, closed for long enough to be broken.
             let most = if closed { 2000 } else { 5000 };
-            sleep(Duration::from_millis(rng.random_range(200..most))).await;
+            let pause = if self.terms.peace { 100 } else { rng.random_range(200..most) };
+            sleep(Duration::from_millis(pause)).await;
             let known = self.known().await;
             let one = known[rng.random_range(0..known.len())];
             let Ok(Answer::View(view)) = ask_one(one, Ask::View).await else { continue };
             if view.announced.is_some() {
                 continue;
             }
-            let stale = rng.random_bool(0.1);
+            let stale = !self.terms.peace && rng.random_bool(0.1);
             let newest = view.in_force.number.0;
             let against = RevisionNo(if stale { newest.saturating_sub(1) } else { newest });
             let values = match closed {
@@ -481,7 +500,7 @@
     }
     for router in 0..terms.routers {
         stage.start_router(router).await;
-        helpers.spawn(peers.clone().client(router, Duration::from_millis(20)));
+        helpers.spawn(peers.clone().client(router, terms.pace));
     }
     let offering = helpers.spawn(stage.clone().offers(terms.seed ^ 0x0ffe2));
     sleep(terms.lease * 2).await;
@@ -495,6 +514,10 @@
         let (drawn, pause) = match script.next() {
             Some(next) => next,
             None if !terms.script.is_empty() || Instant::now() >= until => break,
+            None if terms.peace => {
+                sleep(Duration::from_millis(200)).await;
+                continue;
+            }
             None => {
                 let drawn = draw(&mut rng, &ids, terms.routers, terms.lease);
                 (drawn, Duration::from_millis(rng.random_range(150..1800)))
--- a/crates/spokeflow-standin/src/fleet/switchboard.rs
+++ b/crates/spokeflow-standin/src/fleet/switchboard.rs
@@ -68,6 +68,7 @@
     pub to: Node,
     /// Number of the connection.
     pub conn: u64,
+    pub bytes: usize,
     pub what: Crossed,
 }
 
@@ -188,7 +189,8 @@
             false => Crossed::Down(postcard::from_bytes(body).ok()?),
         };
         let mut frames = self.frames.lock().expect("no holder panics");
-        frames.push(Frame { at: self.now(), on: None, from, to, conn, what });
+        let bytes = body.len() + 4;
+        frames.push(Frame { at: self.now(), on: None, from, to, conn, bytes, what });
         Some(frames.len() - 1)
     }
 
--- a/crates/spokeflow-standin/src/load.rs
+++ b/crates/spokeflow-standin/src/load.rs
@@ -19,6 +19,15 @@
 
 use crate::routers::{RouterProcess, Starting};
 
+/// What a router under load follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Follows {
+    Nothing,
+    Keeper,
+    /// One that takes the connection and says nothing.
+    Stalled,
+}
+
 #[derive(Clone, Debug)]
 pub struct Load {
     pub hosts: u32,
@@ -39,6 +48,7 @@
     /// A fifth of the hosts at a time, each for a second in five, hangs, errs at once, resets its connections or
     /// takes twenty times as long.
     pub bad: bool,
+    pub follows: Follows,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -200,10 +210,44 @@
     Ok(addresses)
 }
 
+/// One keeper alone: it leads, and gives leases.
+async fn keeper(starting: &Starting) -> Result<RouterProcess, String> {
+    let store = std::env::temp_dir().join(format!("spokeflow-load-{}.redb", std::process::id()));
+    let _ = std::fs::remove_file(&store);
+    let starting = Starting { first: vec!["keeper".into()], ..starting.clone() };
+    let flags = [
+        "--id=1".into(),
+        "--listen=127.0.0.1:0".into(),
+        "--member=1=127.0.0.1:1".into(),
+        format!("--store={}", store.display()),
+    ];
+    let started = RouterProcess::start(&starting, &flags, "keeper").await;
+    // It has the file open and needs no name for it.
+    let _ = std::fs::remove_file(&store);
+    started
+}
+
+async fn silent() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        let mut held = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            held.push(stream);
+        }
+    });
+    Ok(address)
+}
+
 /// Puts the load on and measures. Errors: something cannot be started.
 pub async fn put(load: &Load, starting: &Starting) -> Result<Measured, String> {
     let fault = |e: std::io::Error| e.to_string();
     let addresses = hosts(load.hosts, load.answer_after, load.bad).await.map_err(fault)?;
+    let (keeper, silent) = match load.follows {
+        Follows::Keeper => (Some(keeper(starting).await?), None),
+        Follows::Stalled => (None, Some(silent().await.map_err(fault)?)),
+        Follows::Nothing => (None, None),
+    };
     let mut router = if load.pass {
         let mut pass = starting.clone();
         pass.first = vec!["pass".into()];
@@ -211,7 +255,7 @@
         RouterProcess::start_plain(&pass, &flags).await?
     } else {
         let (list, desk) = office(&addresses, load.trial).await.map_err(fault)?;
-        let flags = [
+        let mut flags = vec![
             "--listen=127.0.0.1:0".into(),
             format!("--list={list}"),
             format!("--desk={desk}"),
@@ -219,6 +263,8 @@
             "--held-at-most=200000".into(),
             "--seed=1".into(),
         ];
+        flags.extend(keeper.as_ref().map(|k| format!("--keeper={}", k.address)));
+        flags.extend(silent.map(|address| format!("--keeper={address}")));
         RouterProcess::start(starting, &flags, "router").await?
     };
     sleep(Duration::from_millis(500)).await;
@@ -259,12 +305,20 @@
         let _ = timeout(Duration::from_secs(10), sender).await;
     }
     router.kill().await;
+    if let Some(mut keeper) = keeper {
+        keeper.kill().await;
+    }
     let count = |n: usize| counts[n].load(Ordering::Relaxed);
     let times = times.lock().map_err(|e| e.to_string())?;
     let at = |q: f64| times.value_at_quantile(q) as f64 / 1000.0;
     let asked = (load.rate * load.seconds) as f64;
     Ok(Measured {
-        through: if load.pass { "pass-through" } else { "router" },
+        through: match load.follows {
+            _ if load.pass => "pass-through",
+            Follows::Nothing => "router",
+            Follows::Keeper => "+ keeper",
+            Follows::Stalled => "+ stalled",
+        },
         hosts: load.hosts,
         rate: load.rate,
         acked_per_s: count(0) as f64 / load.seconds as f64,
@@ -476,6 +530,9 @@
     /// Hosts hang, err, reset or crawl in turn, a fifth of them at a time; the pass-through's stay well
     #[arg(long)]
     pub bad: bool,
+    /// Plays the router also with a keeper to follow and with one that stalls, in turn
+    #[arg(long)]
+    pub keepers: bool,
     /// Prints one JSON value for each run
     #[arg(long)]
     pub json: bool,
@@ -492,7 +549,12 @@
     if !flags.json {
         println!("through       hosts  rate  acked/s  nacked  failed  p50 ms  p99 ms  p99.9 ms  cpu us  start KiB  idle KiB  end KiB");
     }
-    for run in 0..2 * flags.runs {
+    let kinds = match flags.keepers {
+        true => vec![Follows::Nothing, Follows::Nothing, Follows::Keeper, Follows::Stalled],
+        false => vec![Follows::Nothing; 2],
+    };
+    for run in 0..kinds.len() as u32 * flags.runs {
+        let turn = run as usize % kinds.len();
         let load = Load {
             hosts: flags.hosts,
             rate: flags.rate,
@@ -500,10 +562,11 @@
             connections: flags.connections,
             idle: flags.idle,
             answer_after: std::time::Duration::from_millis(flags.answer_after),
-            pass: run % 2 == 0,
+            pass: turn == 0,
+            follows: kinds[turn],
             stalled: flags.stalled,
             trial: flags.trial,
-            bad: flags.bad && run % 2 == 1,
+            bad: flags.bad && turn > 0,
         };
         let m = runtime.block_on(put(&load, &starting))?;
         if flags.json {
--- a/crates/spokeflow-standin/src/main.rs
+++ b/crates/spokeflow-standin/src/main.rs
@@ -73,6 +73,15 @@
     /// The routers' lease, which bounds every contradiction
     #[arg(long, default_value = "1500ms", value_parser = humantime::parse_duration)]
     lease: std::time::Duration,
+    /// Nothing fails; each revision is offered as soon as the one before is in force
+    #[arg(long)]
+    peace: bool,
+    /// The leading keeper is killed so often, every three seconds, and nothing else fails
+    #[arg(long, default_value_t = 0)]
+    kill_leaders: u32,
+    /// Between two commands of each router's client
+    #[arg(long, default_value = "20ms", value_parser = humantime::parse_duration)]
+    pace: std::time::Duration,
     /// Prints the report as JSON
     #[arg(long)]
     json: bool,
@@ -209,16 +218,19 @@
     starting.logs.clone_from(&flags.logs);
     starting.log.clone_from(&flags.log);
     let own = || std::env::temp_dir().join(format!("spokeflow-fleet-{}", std::process::id()));
+    let kill = fleet::Fault::KillLeader { down: std::time::Duration::from_millis(1500) };
     let terms = FleetTerms {
         routers: flags.routers,
         keepers: flags.keepers,
         seed: flags.seed,
         lasts: flags.lasts,
-        script: Vec::new(),
+        script: vec![(kill, std::time::Duration::from_secs(3)); flags.kill_leaders as usize],
         lease: flags.lease,
         silence: flags.lease / 5,
         folder: flags.stores.clone().unwrap_or_else(own),
         keep: flags.stores.is_some(),
+        peace: flags.peace,
+        pace: flags.pace,
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
--- a/crates/spokeflow-standin/tests/fleet.rs
+++ b/crates/spokeflow-standin/tests/fleet.rs
@@ -22,6 +22,8 @@
         silence: Duration::from_millis(300),
         folder,
         keep: false,
+        peace: false,
+        pace: Duration::from_millis(20),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
     let (report, frames, faults) = runtime.block_on(play(terms, starting, |_, _| {})).unwrap();
