The host list from the keepers: versions in the log, a source that is wrong is not believed

News whose version goes backwards, or that says one version in two ways, is not believed (spokeflow-fleet trust-list lets a source begin anew); a whole list that lacks more than half is read a second time. What a router's own list says then only takes hosts away, by process.

Rig: hosts drain and come back; routers' own list is silent; deliveries to a drained host are checked for every router under a lease. A router without one goes by the last list it was told: told apart by its lease, since it cannot know.

--- a/crates/spokeflow-agreed/src/granter.rs
+++ b/crates/spokeflow-agreed/src/granter.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use spokeflow_core::Micros;
 
-use crate::{Asked, LeaseTerms, Ledger, Revision, RevisionNo};
+use crate::{Asked, LeaseTerms, Ledger, ListPart, Revision, RevisionNo};
 
 /// Routers whose leases are kept in mind; beyond, an announced revision waits for time alone.
 const HOLDERS: usize = 8192;
@@ -25,6 +25,8 @@
     pub announced: Option<Known>,
     /// Where the keepers that vote are to be found, where the router has it otherwise.
     pub seats: Option<Seats>,
+    /// What the router lacks of the list, where it wants it.
+    pub list: Option<ListPart>,
 }
 
 /// Addresses of keepers, and a number by which two such lists are told apart.
@@ -74,7 +76,8 @@
             revision: (!asked.knows.contains(&revision.number)).then(|| revision.clone()),
         };
         let (in_force, announced) = (tell(&ledger.in_force), ledger.announced.as_ref().map(tell));
-        Grant { in_force, announced, seats: (asked.seats != seats.mark).then(|| seats.clone()) }
+        let list = asked.list.and_then(|have| ledger.list.since(have));
+        Grant { in_force, announced, seats: (asked.seats != seats.mark).then(|| seats.clone()), list }
     }
 
     /// The announced revision, where every lease that was given without it is over, or its router has since said
--- a/crates/spokeflow-agreed/src/holder.rs
+++ b/crates/spokeflow-agreed/src/holder.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use spokeflow_core::Micros;
 
-use crate::{Grant, Known, LeaseTerms, Revision, RevisionNo, Seats};
+use crate::{Grant, Known, LeaseTerms, ListNo, ListPart, Revision, RevisionNo, Seats};
 
 /// Requests that are out at most; an answer to one that is forgotten gives nothing.
 const OUT: usize = 32;
@@ -23,6 +23,8 @@
     pub acts_on: RevisionNo,
     /// Mark of the keepers' addresses that it has.
     pub seats: u64,
+    /// The list that it has, where it wants it from the keepers.
+    pub list: Option<ListNo>,
 }
 
 #[derive(Clone, Debug)]
@@ -37,6 +39,8 @@
     announced: Option<Revision>,
     acts_on: RevisionNo,
     seats: Seats,
+    list: Option<ListNo>,
+    news: Option<ListPart>,
 }
 
 impl Holder {
@@ -44,7 +48,14 @@
         let (asked, in_force) = (VecDeque::new(), Revision::default());
         let (next, until, announced, acts_on) = (0, None, None, RevisionNo(0));
         let seats = Seats::default();
-        Holder { terms, process, router, asked, next, until, in_force, announced, acts_on, seats }
+        let (list, news) = (None, None);
+        Holder { terms, process, router, asked, next, until, in_force, announced, acts_on, seats, list, news }
+    }
+
+    /// Wants the list as well, from now on.
+    pub fn wants_list(mut self) -> Self {
+        self.list = Some(ListNo(0));
+        self
     }
 
     /// How often to ask: twice more may fail before the lease is over.
@@ -57,6 +68,11 @@
         self.until
     }
 
+    /// What the last grant that was taken in said of the list, once.
+    pub fn list_news(&mut self) -> Option<ListPart> {
+        self.news.take()
+    }
+
     pub fn in_force(&self) -> &Revision {
         &self.in_force
     }
@@ -89,7 +105,7 @@
         }
         let knows = [self.in_force.number, self.newest()];
         let (process, router, acts_on) = (self.process, self.router, self.acts_on);
-        (self.next, Asked { process, router, knows, acts_on, seats: self.seats.mark })
+        (self.next, Asked { process, router, knows, acts_on, seats: self.seats.mark, list: self.list })
     }
 
     /// Takes in the answer to a request. Whether lease or revisions are other than before; the caller acts on them
@@ -120,6 +136,9 @@
         };
         (self.in_force, self.announced, self.until) = (in_force, announced, Some(until));
         self.seats = grant.seats.unwrap_or(std::mem::take(&mut self.seats));
+        // Versions only grow: what an overtaken answer says of the list is known already.
+        self.news = grant.list.filter(|part| self.list.is_some_and(|have| part.version > have));
+        self.list = self.list.map(|have| self.news.as_ref().map_or(have, |part| part.version));
         true
     }
 }
--- a/crates/spokeflow-agreed/src/keeper.rs
+++ b/crates/spokeflow-agreed/src/keeper.rs
@@ -1,18 +1,23 @@
 //! One keeper as a state machine, without I/O: its member of the log, the ledger that the log makes, the leases that it
 //! gives while it leads, and the requests that wait for an answer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use spokeflow_core::Micros;
 use spokeflow_quorum::{Body, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Term, Write};
 
 use crate::wire::{Answer, Ask, ToKeeper, View};
-use crate::{Act, Granter, LeaseTerms, Ledger, Offer, RevisionNo, Seats, Values};
+use crate::{
+    Act, Doubt, Granter, HostState, LeaseTerms, Ledger, ListPart, Offer, RevisionNo, Seats, SourceNews,
+    Values,
+};
 
 /// Entries beside the snapshot from which a new one is made.
 const KEPT: usize = 500;
 /// Requests that wait at most: beyond, one more is told that nobody leads.
 const WAITING: usize = 4096;
+/// News of the list that waits for news before it at most.
+const LIST_WAITS: usize = 64;
 /// An offer that is not committed within this time is told to be unclear, and a request to another keeper given up.
 const PATIENCE: Micros = 2_000_000;
 
@@ -44,6 +49,8 @@
     pub writes: Vec<Write>,
     /// Whether the ledger has changed.
     pub changed: bool,
+    /// News of the list's source that is not believed, for the log; it is to be read once more.
+    pub doubt: Option<Doubt>,
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +75,16 @@
     /// By own number, requests passed on to the leader.
     passed: BTreeMap<u64, Waiting>,
     next_pass: u64,
+    /// By host, the incarnation that this keeper has applied, and when: what has passed since is added to the time that
+    /// it is up. Of a keeper that has just started that is less than true, and such a host is taken to be colder.
+    applied_at: BTreeMap<u32, (u64, Micros)>,
+    /// A whole list that lacked too much, to be believed where it is read again.
+    doubted: Option<SourceNews>,
+    doubt: Option<Doubt>,
+    /// Whether a part of the list is in the log and not committed: the next is weighed against it.
+    list_out: bool,
+    /// News that came meanwhile; what finds no room is read again.
+    list_waits: VecDeque<SourceNews>,
     /// Seconds since 1970, for people.
     pub wall_s: u64,
 }
@@ -92,6 +109,11 @@
             offers: BTreeMap::new(),
             passed: BTreeMap::new(),
             next_pass: 0,
+            applied_at: BTreeMap::new(),
+            doubted: None,
+            doubt: None,
+            list_out: false,
+            list_waits: VecDeque::new(),
             wall_s: 0,
         })
     }
@@ -197,7 +219,11 @@
                 if *of != term {
                     (*of, *granter) = (term, Granter::new(lease, now));
                 }
-                Some(Answer::Granted(Box::new(granter.ask(now, &asked, &self.ledger, &self.seats))))
+                let mut grant = granter.ask(now, &asked, &self.ledger, &self.seats);
+                if let Some(part) = &mut grant.list {
+                    age(part, &self.applied_at, now);
+                }
+                Some(Answer::Granted(Box::new(grant)))
             }
             Ask::Offer(offer) => {
                 if let Some(verdict) = self.ledger.verdict(offer.token) {
@@ -222,6 +248,10 @@
                 None
             }
             Ask::View => Some(Answer::View(Box::new(self.view(now)))),
+            Ask::TrustList => {
+                let act = Act::TrustList;
+                Some(self.member.offer(now, act.bytes(), out).map_or(Answer::NoLeader, |_| Answer::Begun))
+            }
             Ask::Seat { keeper, address } => {
                 if address.parse::<std::net::SocketAddr>().is_err() {
                     return Some(Answer::Bad(format!("'{address}' is not an address with a port")));
@@ -243,6 +273,40 @@
         }
     }
 
+    /// What the list's source said, to a keeper that reads it. Only the leader does anything with it.
+    pub fn list_told(&mut self, now: Micros, news: SourceNews, step: &mut Step) {
+        if !self.member.speaks(now) {
+            return;
+        }
+        if self.list_out {
+            self.list_waits.push_back(news);
+            self.list_waits.truncate(LIST_WAITS);
+            return;
+        }
+        let twice = self.doubted.as_ref().is_some_and(|d| d.whole && news.whole && alike(d, &news));
+        let weighed = self.ledger.list.weigh(&news, twice);
+        let doubt = weighed.as_ref().err().copied();
+        if doubt.is_some() && self.doubt != doubt {
+            step.doubt = doubt;
+        }
+        self.doubt = doubt;
+        self.doubted = matches!(doubt, Some(Doubt::Halved { .. })).then_some(news);
+        if let Ok(Some(news)) = weighed {
+            let mut out = Out::default();
+            self.list_out = self.member.offer(now, Act::List(news).bytes(), &mut out).is_ok();
+            self.settle(now, out, step);
+        }
+    }
+
+    fn note_hosts(&mut self, now: Micros) {
+        let mut noted = BTreeMap::new();
+        for host in self.ledger.list.hosts() {
+            let known = self.applied_at.get(&host.host).filter(|a| a.0 == host.incarnation);
+            noted.insert(host.host, known.copied().unwrap_or((host.incarnation, now)));
+        }
+        self.applied_at = noted;
+    }
+
     fn view(&self, now: Micros) -> View {
         let counts = self.granter.as_ref().map(|(_, g)| g.counts(now, &self.ledger));
         let (leases, acting) = counts.unwrap_or_default();
@@ -256,6 +320,10 @@
             members: self.member.members().to_vec(),
             seats: self.ledger.seats.iter().map(|(k, a)| (*k, a.clone())).collect(),
             leases: leases as u64,
+            list: self.ledger.list.version.0,
+            list_source: self.ledger.list.source,
+            hosts: self.ledger.list.hosts().filter(|h| h.state != HostState::Gone).count() as u64,
+            list_doubt: self.doubt,
             acting: acting as u64,
         }
     }
@@ -267,13 +335,19 @@
                 // Written by a keeper that read its own: if this one cannot, it must not go on as if it could.
                 self.ledger = Ledger::restore(&snapshot.state).unwrap_or_default();
                 (self.applied, step.changed) = (snapshot.upto, true);
+                self.note_hosts(now);
             }
             for (place, entry) in std::mem::take(&mut out.committed) {
                 self.applied = place;
                 step.changed = true;
                 if let Body::Act(bytes) = entry.body {
                     if let Some(act) = Act::read(&bytes) {
+                        let listed = matches!(act, Act::List(_) | Act::TrustList);
                         self.ledger.apply(act);
+                        if listed {
+                            self.list_out = false;
+                            self.note_hosts(now);
+                        }
                     }
                 }
             }
@@ -284,6 +358,9 @@
                 break;
             }
         }
+        if let Some(news) = self.list_waits.pop_front_if(|_| !self.list_out) {
+            self.list_told(now, news, step);
+        }
         self.seat();
         let ledger = &self.ledger;
         self.offers.retain(|token, waiting| {
@@ -305,7 +382,8 @@
         if !self.member.speaks(now) {
             // Leases may have been given by others since: what is known of them is worth nothing.
             if !self.member.is_elected() {
-                self.granter = None;
+                (self.granter, self.list_out, self.doubted) = (None, false, None);
+                self.list_waits.clear();
             }
             return false;
         }
@@ -326,3 +404,16 @@
         false
     }
 }
+
+/// Adds what has passed since the hosts were listed.
+fn age(part: &mut ListPart, applied_at: &BTreeMap<u32, (u64, Micros)>, now: Micros) {
+    for host in &mut part.hosts {
+        let since = applied_at.get(&host.host).map_or(0, |a| (now - a.1).max(0) as u64);
+        host.up_us = host.up_us.map(|up| up.saturating_add(since));
+    }
+}
+
+fn alike(a: &SourceNews, b: &SourceNews) -> bool {
+    let named = |news: &SourceNews| news.hosts.iter().map(|h| (h.host, h.state)).collect::<Vec<_>>();
+    a.version == b.version && named(a) == named(b)
+}
--- a/crates/spokeflow-agreed/src/ledger.rs
+++ b/crates/spokeflow-agreed/src/ledger.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use spokeflow_quorum::KeeperId;
 
+use crate::{AgreedList, SourceNews};
+
 /// Records and verdicts that are kept.
 const KEPT: usize = 500;
 
@@ -43,6 +45,10 @@
         revision: RevisionNo,
         at_s: u64,
     },
+    /// What the list's source said, as far as it differs.
+    List(SourceNews),
+    /// The list's source may begin anew.
+    TrustList,
     /// Where a keeper is to be found, before it is taken in.
     Seat {
         keeper: KeeperId,
@@ -81,6 +87,7 @@
     /// The newest last.
     pub history: VecDeque<Record>,
     pub seats: BTreeMap<KeeperId, String>,
+    pub list: AgreedList,
     verdicts: VecDeque<(u64, Verdict)>,
 }
 
@@ -107,6 +114,8 @@
                     record.in_force_s = Some(at_s);
                 }
             }
+            Act::List(news) => self.list.apply(news),
+            Act::TrustList => self.list.trust(),
             Act::Seat { keeper, address } => {
                 self.seats.insert(keeper, address);
             }
--- a/crates/spokeflow-agreed/src/lib.rs
+++ b/crates/spokeflow-agreed/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod granter;
 mod holder;
+mod hosts;
 mod keeper;
 mod ledger;
 mod terms;
@@ -14,6 +15,7 @@
 
 pub use granter::{Grant, Granter, Known, Seats};
 pub use holder::{Asked, Holder};
+pub use hosts::{AgreedList, Doubt, HostState, ListNo, ListPart, ListedHost, SourceNews};
 pub use keeper::{Asker, Keeper, KeeperTerms, Step};
 pub use ledger::{Act, Ledger, Offer, Record, Revision, RevisionNo, Values, Verdict};
 pub use terms::{AgreedTerms, LeaseTerms};
--- a/crates/spokeflow-agreed/src/wire.rs
+++ b/crates/spokeflow-agreed/src/wire.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use spokeflow_quorum::{KeeperId, Message, Place, Term};
 
-use crate::{Asked, Grant, Offer, Record, Revision, Verdict};
+use crate::{Asked, Doubt, Grant, Offer, Record, Revision, Verdict};
 
 pub const MAGIC: [u8; 4] = *b"SPKK";
 pub const VERSION: u16 = 1;
@@ -47,6 +47,8 @@
         keeper: KeeperId,
         address: String,
     },
+    /// The list's source may begin anew, from any version.
+    TrustList,
     /// Who votes from now on: one more or one less.
     Members(Vec<KeeperId>),
 }
@@ -80,6 +82,11 @@
     pub seats: Vec<(KeeperId, String)>,
     /// Leases that this leader has given and that hold, and how many of them act on the newest revision.
     pub leases: u64,
+    /// Version of the list, the source's version behind it, hosts that are there, and why newer news is not believed.
+    pub list: u64,
+    pub list_source: u64,
+    pub hosts: u64,
+    pub list_doubt: Option<Doubt>,
     pub acting: u64,
 }
 
--- a/crates/spokeflow-agreed/tests/leases.rs
+++ b/crates/spokeflow-agreed/tests/leases.rs
@@ -241,3 +241,29 @@
     assert!(!holder.granted(second, late), "an answer counts once");
     assert_eq!(holder.newest(), RevisionNo(1));
 }
+
+/// The request sent first arrives last: its answer knows of more, and comes first.
+#[test]
+fn an_answer_that_knows_of_less_is_not_taken_in_though_its_lease_is_longer() {
+    let (mut holder, mut ledger) = (Holder::new(TERMS, 1, 0), Ledger::default());
+    let mut granter = Granter::new(TERMS, 0);
+    let (first, asked_first) = holder.ask(0);
+    let (second, asked_second) = holder.ask(1);
+    let knows_less = granter.ask(10, &asked_second, &ledger, &Seats::default());
+    let (who, why, values) = (String::new(), String::new(), Values::new());
+    let against = RevisionNo(0);
+    ledger.apply(Act::Offer(Offer { token: 1, against, who, why, at_s: 0, values }));
+    let knows_more = granter.ask(20, &asked_first, &ledger, &Seats::default());
+    assert!(holder.granted(first, knows_more));
+    assert!(!holder.granted(second, knows_less), "it would take the announced revision back");
+    assert_eq!(holder.newest(), RevisionNo(1));
+}
+
+/// The slowest clock that holds and the fastest that waits.
+#[test]
+fn the_wait_is_not_shorter_than_a_lease_whatever_clocks_do_within_the_drift() {
+    let by_true_clock = |local: Micros, rate: f64| local as f64 / rate;
+    let (slow, fast) = (1.0 - TERMS.drift, 1.0 + TERMS.drift);
+    assert!(by_true_clock(TERMS.held(), slow) <= TERMS.lease as f64);
+    assert!(by_true_clock(TERMS.waits(), fast) >= TERMS.lease as f64);
+}
--- a/crates/spokeflow-engine/src/book.rs
+++ b/crates/spokeflow-engine/src/book.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use spokeflow_core::{BuildId, CommandId, DeliveryEnd, Egress, HostId, HostLine, Micros, Verdict};
-use spokeflow_proto::{BallotVerdict, ToClient, ToDesk, ToHost, ToList};
+use spokeflow_proto::{BallotVerdict, Line, LinePhase, ToClient, ToDesk, ToHost, ToList};
 
 use crate::{Counts, Links};
 
@@ -40,6 +40,20 @@
 }
 
 impl Place {
+    /// What it would be listed as in this phase.
+    pub fn as_line(&self, phase: LinePhase) -> Line {
+        Line {
+            host: self.line.host.0,
+            address: self.address.clone(),
+            build: self.line.build.map(|b| b.0),
+            cell: self.line.cell,
+            zone: self.line.zone.0,
+            phase,
+            incarnation: self.incarnation,
+            up_us: None,
+        }
+    }
+
     pub fn build(&self) -> BuildId {
         self.line.build.unwrap_or_default()
     }
@@ -74,6 +88,15 @@
     /// Where keepers are followed and the desk has spoken: the earliest build that is not free for all, and until
     /// when anything may leave for it.
     pub trial_until: Option<(BuildId, Micros)>,
+    /// Where the list comes from keepers.
+    pub agreed_list: Option<AgreedHosts>,
+}
+
+/// The list as the keepers told it, and hosts that the router's own list has taken away: the process up to which, and how.
+#[derive(Default)]
+pub struct AgreedHosts {
+    pub told: BTreeMap<u32, Line>,
+    pub taken: BTreeMap<u32, (u64, LinePhase)>,
 }
 
 impl Book {
--- a/crates/spokeflow-engine/src/engine.rs
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -187,6 +187,7 @@
                     self.go_by_agreed(links);
                 }
             },
+            Input::AgreedList { whole, hosts } => self.hear_agreed_list(whole, hosts, links),
             Input::Close => self.closing = true,
             Input::Wake => self.wake(links),
         }
@@ -360,9 +361,62 @@
             FromList::Welcome | FromList::Refused(_) => return,
         };
         self.book.list_version = Some(version);
+        if self.book.agreed_list.is_some() {
+            return self.take_away(kind, &lines, links);
+        }
         self.list(kind, &lines, links);
     }
 
+    /// What the own list says while the list is agreed: hosts are taken away at once, and given back to the agreed
+    /// list, but nothing is added.
+    fn take_away(&mut self, kind: ListKind, lines: &[Line], links: &mut dyn Links) {
+        let Some(agreed) = &mut self.book.agreed_list else { return };
+        let mut changed = Vec::new();
+        for line in lines {
+            let Some(place) = self.book.places.get(&HostId(line.host)) else { continue };
+            if line.incarnation < place.incarnation {
+                continue;
+            }
+            if line.phase != LinePhase::Ready {
+                agreed.taken.insert(line.host, (place.incarnation, line.phase));
+                changed.push(place.as_line(line.phase));
+            } else if agreed.taken.remove(&line.host).is_some() {
+                changed.extend(agreed.told.get(&line.host).cloned());
+            }
+        }
+        if kind == ListKind::Whole {
+            let named: BTreeSet<u32> = lines.iter().map(|line| line.host).collect();
+            for (host, place) in &self.book.places {
+                if place.line.phase != HostPhase::Gone && !named.contains(&host.0) {
+                    agreed.taken.insert(host.0, (place.incarnation, LinePhase::Gone));
+                    changed.push(place.as_line(LinePhase::Gone));
+                }
+            }
+        }
+        self.list(ListKind::Changes, &changed, links);
+    }
+
+    fn hear_agreed_list(&mut self, whole: bool, mut hosts: Vec<Line>, links: &mut dyn Links) {
+        let agreed = self.book.agreed_list.get_or_insert_default();
+        if whole {
+            agreed.told.clear();
+        }
+        for line in &mut hosts {
+            agreed.told.insert(line.host, line.clone());
+            match agreed.taken.get(&line.host) {
+                // The own list may be ahead of the agreed one: what it took away stays so until another process.
+                Some((upto, phase)) if line.incarnation <= *upto => line.phase = *phase,
+                Some(_) => drop(agreed.taken.remove(&line.host)),
+                None => {}
+            }
+        }
+        agreed.told.retain(|_, line| line.phase != LinePhase::Gone);
+        if whole || !hosts.is_empty() {
+            let kind = if whole { ListKind::Whole } else { ListKind::Changes };
+            self.list(kind, &hosts, links);
+        }
+    }
+
     fn list(&mut self, kind: ListKind, lines: &[Line], links: &mut dyn Links) {
         let told: Vec<HostLine> = lines.iter().map(|line| self.host_line(line)).collect();
         if kind != ListKind::Changes {
--- a/crates/spokeflow-engine/src/input.rs
+++ b/crates/spokeflow-engine/src/input.rs
@@ -60,6 +60,12 @@
         until: Micros,
         terms: Box<AgreedTerms>,
     },
+    /// From the keepers: hosts that the list now has otherwise, or all that it has. Of a router that takes its list from
+    /// them it comes first without any host; what its own list says then only takes hosts away.
+    AgreedList {
+        whole: bool,
+        hosts: Vec<Line>,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/spokeflow-engine/tests/engine.rs
+++ b/crates/spokeflow-engine/tests/engine.rs
@@ -6,7 +6,7 @@
 use spokeflow_agreed::AgreedTerms;
 use spokeflow_core::Micros;
 use spokeflow_engine::{Input, NoAnswer, Recording, RecordingFault};
-use spokeflow_proto::{FromDesk, FromHost, LinePhase, News, NewsStanding, ToClient};
+use spokeflow_proto::{FromDesk, FromHost, FromList, Line, LinePhase, News, NewsStanding, ToClient};
 
 const SAFE: u16 = 0;
 const ONCE: u16 = 2;
@@ -358,3 +358,58 @@
     let [old, new] = shares(&mut rig, 20 * SECOND);
     assert!(new > 10 && new as f64 <= 0.05 * (old + new) as f64 + 1.0, "{old} {new}");
 }
+
+fn lines(hosts: &[(u32, LinePhase, u64)]) -> Vec<Line> {
+    let line = |h: &(u32, LinePhase, u64)| Line {
+        host: h.0,
+        address: format!("127.0.0.1:{}", h.0),
+        build: Some(OLD),
+        cell: 0,
+        zone: 0,
+        phase: h.1,
+        incarnation: h.2,
+        up_us: None,
+    };
+    hosts.iter().map(line).collect()
+}
+
+fn hosts_used(rig: &mut Rig) -> Vec<u32> {
+    let before = rig.links.hosts.len();
+    rig.answer_all(2 * SECOND);
+    let mut used = rig.links.hosts[before..].to_vec();
+    used.sort_unstable();
+    used.dedup();
+    used
+}
+
+#[test]
+fn beside_an_agreed_list_the_own_one_only_takes_hosts_away() {
+    use LinePhase::{Draining, Gone, Ready};
+    let mut rig = Rig::new(6, 0);
+    rig.input(Input::AgreedList { whole: false, hosts: Vec::new() });
+    let own = |rig: &mut Rig, whole: bool, hosts: &[(u32, LinePhase, u64)]| {
+        let (version, lines) = (1, lines(hosts));
+        rig.input(Input::FromList(match whole {
+            true => FromList::Whole { version, lines },
+            false => FromList::Changes { version, lines },
+        }));
+    };
+    own(&mut rig, true, &[(1, Ready, 1), (9, Ready, 1)]);
+    let news = News { build: OLD, stage: 2, standing: NewsStanding::Released, cap: 1.0, age_us: 0 };
+    rig.input(Input::FromDesk(FromDesk::News(news)));
+    assert!(hosts_used(&mut rig).is_empty(), "the own list adds none");
+    let all = lines(&[(1, Ready, 1), (2, Ready, 1), (3, Ready, 1)]);
+    rig.input(Input::AgreedList { whole: true, hosts: all });
+    assert_eq!(hosts_used(&mut rig), [1, 2, 3]);
+    own(&mut rig, false, &[(2, Draining, 1), (3, Gone, 1)]);
+    assert_eq!(hosts_used(&mut rig), [1], "at once, though the agreed list has them still");
+    // The agreed list is behind: said again for whatever reason, the same processes stay away.
+    rig.input(Input::AgreedList { whole: false, hosts: lines(&[(2, Ready, 1)]) });
+    assert_eq!(hosts_used(&mut rig), [1]);
+    rig.input(Input::AgreedList { whole: false, hosts: lines(&[(2, Ready, 2)]) });
+    assert_eq!(hosts_used(&mut rig), [1, 2], "another process of it");
+    own(&mut rig, false, &[(3, Ready, 1)]);
+    assert_eq!(hosts_used(&mut rig), [1, 2, 3], "given back to the agreed list");
+    own(&mut rig, true, &[(1, Ready, 1), (3, Ready, 1)]);
+    assert_eq!(hosts_used(&mut rig), [1, 3], "a whole list that lacks one says that it is gone");
+}
--- a/crates/spokeflow-keeper/src/lib.rs
+++ b/crates/spokeflow-keeper/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod ask;
 mod calls;
 pub mod check;
+mod list;
 mod peers;
 mod program;
 mod serve;
--- a/crates/spokeflow-keeper/src/program.rs
+++ b/crates/spokeflow-keeper/src/program.rs
@@ -49,6 +49,9 @@
     /// File of its store, made where it is not there
     #[arg(long, env = "SPOKEFLOW_STORE")]
     pub store: PathBuf,
+    /// The host list that routers with --agreed-list follow: the leading keeper reads it
+    #[arg(long, env = "SPOKEFLOW_LIST")]
+    pub list: Option<SocketAddr>,
     /// Number of the fleet: a keeper of another one is refused, and so is its store
     #[arg(long, env = "SPOKEFLOW_FLEET", default_value_t = 0)]
     pub fleet: u64,
--- a/crates/spokeflow-keeper/src/serve.rs
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -7,15 +7,16 @@
 
 use rand::RngExt;
 use spokeflow_agreed::wire::{Answer, Ask, Caller, ToKeeper};
-use spokeflow_agreed::{Asker, Keeper, Step};
+use spokeflow_agreed::{Asker, Keeper, SourceNews, Step};
 use spokeflow_platform::{Clock, Pauses};
 use spokeflow_quorum::{KeeperId, Message, Saved, Write};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::time::{sleep, sleep_until};
 use tracing::{info, warn};
 
 use crate::calls::Call;
+use crate::list::ListLink;
 use crate::peers::{PeerLink, FIRST_PAUSE, LONGEST_PAUSE};
 use crate::steps::{Steps, Where};
 use crate::store::{Start, PROCESSES};
@@ -50,6 +51,8 @@
     /// All writes up to this number are on the disk, and all starts that were to be kept by then.
     Synced(u64),
     DiskFails(String),
+    /// From the host list.
+    List(SourceNews),
 }
 
 /// What the disk's thread is handed.
@@ -111,6 +114,9 @@
     }
 
     fn carry_out(&mut self, step: Step) {
+        if let Some(doubt) = step.doubt {
+            warn!(?doubt, "news of the host list is not believed");
+        }
         if step.changed {
             self.steps.pass(Where::Applied);
             self.reach();
@@ -232,7 +238,7 @@
         let (core, steps) = (core.clone(), steps.clone());
         std::thread::spawn(move || disk(store, orders, core, steps));
     }
-    let own = KeeperId(flags.id);
+    let (own, list) = (KeeperId(flags.id), flags.list);
     let common = flags.common();
     let caller = Caller::Keeper { id: own, start, processes, common };
     let keeper = Keeper::new(terms, seed, saved, clock.now())?;
@@ -250,6 +256,11 @@
         steps,
         said: None,
     };
+    let (reads, reading) = watch::channel(false);
+    if let Some(address) = list {
+        let pauses = Pauses::new(seed, 1 << 32, FIRST_PAUSE, LONGEST_PAUSE);
+        tokio::spawn(ListLink { address, pauses, core: core.clone(), reads: reading }.run());
+    }
     shell.reach();
     let accepting = {
         let (core, clock) = (core.clone(), clock.clone());
@@ -299,6 +310,7 @@
                 // It may have voted and forgotten it: it must not vote again.
                 Arrival::OldDisk(text) => break 'run Err(text),
                 Arrival::DiskFails(what) => break 'run Err(what),
+                Arrival::List(news) => shell.keeper.list_told(now, news, &mut step),
             }
             shell.carry_out(step);
         }
@@ -309,6 +321,8 @@
             shell.carry_out(step);
         }
         shell.say();
+        let leads = shell.keeper.member().speaks(now);
+        reads.send_if_modified(|r| std::mem::replace(r, leads) != leads);
     };
     accepting.abort();
     ended
--- a/crates/spokeflow-router/src/keepers.rs
+++ b/crates/spokeflow-router/src/keepers.rs
@@ -8,10 +8,11 @@
 use futures_util::{SinkExt, StreamExt};
 use rand::RngExt;
 use spokeflow_agreed::wire::{Answer, Ask, Caller, FromKeeper, ToKeeper, LIMIT};
-use spokeflow_agreed::{Holder, LeaseTerms, RevisionNo};
+use spokeflow_agreed::{Holder, HostState, LeaseTerms, ListedHost, RevisionNo};
 use spokeflow_core::Micros;
+use spokeflow_engine::Input;
 use spokeflow_platform::{Clock, Pauses};
-use spokeflow_proto::FrameCodec;
+use spokeflow_proto::{FrameCodec, Line, LinePhase};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout, Instant};
@@ -105,7 +106,8 @@
         let terms = LeaseTerms { lease: common.lease_us as Micros, drift: common.drift };
         if self.holder.is_none() {
             info!(lease_us = common.lease_us, "follows keepers; longest contradiction is one lease");
-            self.holder = Some(Holder::new(terms, self.process, self.terms.index));
+            let holder = Holder::new(terms, self.process, self.terms.index);
+            self.holder = Some(if self.terms.agreed_list { holder.wants_list() } else { holder });
         }
         Some(link)
     }
@@ -159,7 +161,14 @@
 
     /// Hands the engine what may be acted on. `false`: it is no more.
     async fn act(&mut self) -> bool {
-        let Some(holder) = &self.holder else { return true };
+        let Some(holder) = &mut self.holder else { return true };
+        if let Some(part) = holder.list_news() {
+            let hosts = part.hosts.into_iter().map(line).collect();
+            let list = Input::AgreedList { whole: part.whole, hosts };
+            if self.core.send(Arrival::Input(list)).await.is_err() {
+                return false;
+            }
+        }
         let Some(until) = holder.until() else { return true };
         let revision = holder.newest();
         match self.terms.agreed(holder.in_force(), holder.announced()) {
@@ -178,3 +187,13 @@
         }
     }
 }
+
+fn line(host: ListedHost) -> Line {
+    let ListedHost { host, address, build, cell, zone, state, incarnation, up_us } = host;
+    let phase = match state {
+        HostState::Gone => LinePhase::Gone,
+        HostState::Ready => LinePhase::Ready,
+        HostState::Draining => LinePhase::Draining,
+    };
+    Line { host, address, build, cell, zone, phase, incarnation, up_us }
+}
--- a/crates/spokeflow-router/src/serve.rs
+++ b/crates/spokeflow-router/src/serve.rs
@@ -230,6 +230,9 @@
         let own = Box::new(AgreedTerms::of(&terms.engine().service));
         give(&mut engine, &mut wires, Input::Agreed { until: clock.now(), terms: own });
     }
+    if terms.agreed_list {
+        give(&mut engine, &mut wires, Input::AgreedList { whole: false, hosts: Vec::new() });
+    }
     if let Some(file) = &terms.list_file {
         match read_list(file) {
             Ok(lines) => give(&mut engine, &mut wires, Input::Remembered(lines)),
--- a/crates/spokeflow-router/src/terms.rs
+++ b/crates/spokeflow-router/src/terms.rs
@@ -163,6 +163,10 @@
     /// the router goes by its flags alone
     #[arg(long = "keeper", env = "SPOKEFLOW_KEEPER", value_delimiter = ',')]
     pub keepers: Vec<SocketAddr>,
+    /// The host list comes from the keepers, on which all routers agree; the list named by --list then only takes hosts
+    /// away
+    #[arg(long, env = "SPOKEFLOW_AGREED_LIST")]
+    pub agreed_list: bool,
     /// Another router of the deployment: INDEX=ADDRESS
     #[arg(long = "peer", env = "SPOKEFLOW_PEER", value_delimiter = ',', value_parser = peer)]
     pub peers: Vec<(u32, SocketAddr)>,
@@ -384,6 +388,7 @@
             let fits = *index < fleet && *index != self.index;
             faults.when(!fits, "peer", format!("{index}={address}: not another router of {fleet}"));
         }
+        faults.when(self.agreed_list && self.keepers.is_empty(), "agreed-list", "needs --keeper");
         faults.when(!self.peers.is_empty() && !s.may_tell, "peer", "needs --may-tell");
         let shortest = s.ops.iter().map(|op| op.timeout).min().unwrap_or_default();
         let longest = s.ops.iter().map(|op| op.timeout).max().unwrap_or_default();
--- a/crates/spokeflow-standin/src/fleet/check.rs
+++ b/crates/spokeflow-standin/src/fleet/check.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 use spokeflow_agreed::wire::{Answer, Ask, FromKeeper, ToKeeper};
-use spokeflow_agreed::{Grant, Revision, Values, Verdict};
+use spokeflow_agreed::{Grant, HostState, Revision, Values, Verdict};
 use spokeflow_quorum::Message;
 
 use super::peers::{Asked, Delivered, Ended, NEW, ONCE, PATIENCE};
@@ -48,6 +48,10 @@
     pub refused_disks: usize,
     /// Longest time for which a router acted against a revision that another may have acted on, and the bound.
     pub longest_contradiction_us: Micros,
+    /// Longest time for which a router sent to a host that another had been told to leave.
+    pub longest_stale_list_us: Micros,
+    /// Drains told by keepers.
+    pub drains: usize,
     pub bound_us: Micros,
     /// By which this program itself came late at most.
     pub lag_us: Micros,
@@ -78,8 +82,10 @@
             self.commands, self.acked, self.nacked, self.failed, self.trial_deliveries
         ));
         lines.push(format!(
-            "longest contradiction {} ms of {} ms; announced to in force {} ms (median), {} ms (longest); own lag {} ms",
+            "longest contradiction {} ms, and with a drained host {} ms ({} drains), of {} ms; announced to in force {} ms (median), {} ms (longest); own lag {} ms",
             self.longest_contradiction_us / 1000,
+            self.longest_stale_list_us / 1000,
+            self.drains,
             self.bound_us / 1000,
             self.in_force_p50_us / 1000,
             self.in_force_max_us / 1000,
@@ -104,6 +110,9 @@
     told: BTreeMap<u64, Micros>,
     forced: BTreeMap<u64, Micros>,
     values: BTreeMap<u64, Values>,
+    /// By host: when a list that has it draining was first told, by process; and when one that has it ready was.
+    drained: HashMap<u32, BTreeMap<u64, Micros>>,
+    ready: HashMap<u32, BTreeMap<u64, Micros>>,
     /// By router: when a grant reached it, and until when its lease then ran at most.
     leases: HashMap<u32, Vec<(Micros, Micros)>>,
     grants: usize,
@@ -142,6 +151,7 @@
     (report.faults, report.frames) = (done.faults.len(), frames.len());
     (report.revisions, report.grants, report.leaders) = (seen.forced.len(), seen.grants, seen.leaders);
     report.refused_disks = done.other_disk.len();
+    report.drains = seen.drained.values().map(BTreeMap::len).sum();
     report.broken = broken;
     report
 }
@@ -164,6 +174,8 @@
         told: BTreeMap::new(),
         forced: BTreeMap::new(),
         values: BTreeMap::from([(0, Values::new())]),
+        drained: HashMap::new(),
+        ready: HashMap::new(),
         leases: HashMap::new(),
         grants: 0,
         leaders: 0,
@@ -229,6 +241,13 @@
                         tell(newest(grant), grant.in_force.number.0);
                         let known = grant.announced.iter().chain([&grant.in_force]);
                         revisions.extend(known.filter_map(|k| k.revision.as_ref()));
+                        for host in grant.list.iter().flat_map(|part| &part.hosts) {
+                            let of = match host.state {
+                                HostState::Ready => &mut seen.ready,
+                                _ => &mut seen.drained,
+                            };
+                            of.entry(host.host).or_default().entry(host.incarnation).or_insert(frame.at);
+                        }
                         if let (Node::Router(router), Some(on)) = (frame.to, frame.on) {
                             seen.leases.entry(router).or_default().push((on, asked_at + lease));
                         }
@@ -282,6 +301,35 @@
     report: &mut Report,
     broken: &mut Vec<String>,
 ) {
+    let held = |router: &u32, at: Micros| {
+        let leases = seen.leases.get(router).into_iter().flatten();
+        leases.take_while(|l| l.0 <= at).map(|l| l.1).max().unwrap_or(0)
+    };
+    for d in delivered {
+        // Without a lease a router goes by the last list that it was told: it cannot know of a later one. One that has
+        // just got a lease again may have sent this before.
+        if d.at > held(&d.router, d.at - slack) {
+            continue;
+        }
+        // The process that drained, and the next one, are told apart by when each was first told of.
+        for (process, told) in seen.drained.get(&d.host).into_iter().flatten().filter(|t| *t.1 <= d.at) {
+            let back = seen.ready.get(&d.host).is_some_and(|r| r.range(process + 1..).any(|n| *n.1 <= d.at));
+            if back {
+                continue;
+            }
+            let since = d.at - told;
+            report.longest_stale_list_us = report.longest_stale_list_us.max(since);
+            if since > lease + slack {
+                broken.push(format!(
+                    "router {} sent to host {} at {} ms, {} ms after it was told to drain",
+                    d.router,
+                    d.host,
+                    d.at / 1000,
+                    since / 1000
+                ));
+            }
+        }
+    }
     for d in delivered.iter().filter(|d| d.build == NEW) {
         report.trial_deliveries += 1;
         let held = seen
--- a/crates/spokeflow-standin/src/fleet/play.rs
+++ b/crates/spokeflow-standin/src/fleet/play.rs
@@ -36,6 +36,8 @@
     /// For stores, kept where it is named.
     pub folder: PathBuf,
     pub keep: bool,
+    /// The list comes from the keepers: the routers' own says nothing.
+    pub agreed_list: bool,
     /// Nothing fails, and one revision is offered as soon as the one before is in force.
     pub peace: bool,
     /// Between two commands of one client.
@@ -61,7 +63,8 @@
     starting: Starting,
     keepers: Keepers,
     routers: tokio::sync::Mutex<Vec<Option<RouterProcess>>>,
-    addresses: (SocketAddr, SocketAddr),
+    /// List, desk, and a list that says nothing.
+    addresses: [SocketAddr; 3],
     done: Mutex<Done>,
     first: Vec<u32>,
     next_keeper: Mutex<u32>,
@@ -108,6 +111,9 @@
             format!("--lease={}us", terms.lease.as_micros()),
         ];
         flags.extend(self.first.iter().map(|k| format!("--member={k}={}", keepers[k].known)));
+        if terms.agreed_list {
+            flags.push(format!("--list={}", self.addresses[0]));
+        }
         if seat.joins {
             flags.push("--join".into());
         }
@@ -138,7 +144,8 @@
 
     async fn start_router(&self, router: u32) {
         let keepers = self.known().await;
-        let (list, desk) = self.addresses;
+        let [list, desk, silent] = self.addresses;
+        let list = if self.terms.agreed_list { silent } else { list };
         let mut flags = vec![
             "--listen=127.0.0.1:0".to_string(),
             format!("--list={list}"),
@@ -151,6 +158,9 @@
             format!("--seed={}", self.terms.seed.wrapping_mul(31).wrapping_add(u64::from(router))),
         ];
         flags.extend(keepers.iter().map(|k| format!("--keeper={k}")));
+        if self.terms.agreed_list {
+            flags.push("--agreed-list".into());
+        }
         let starting = Starting { first: vec!["router".into()], ..self.starting.clone() };
         match RouterProcess::start(&starting, &flags, &format!("router-{router}")).await {
             Ok(process) => {
@@ -466,6 +476,7 @@
     let board = Switchboard::new(start);
     let peers = Arc::new(Peers {
         start,
+        list: tokio::sync::watch::Sender::new((0, Vec::new())),
         noted: Mutex::new(Noted::default()),
         doors: Mutex::new(vec![None; terms.routers as usize]),
         lag: Mutex::new(0),
@@ -503,6 +514,7 @@
         helpers.spawn(peers.clone().client(router, terms.pace));
     }
     let offering = helpers.spawn(stage.clone().offers(terms.seed ^ 0x0ffe2));
+    let draining = helpers.spawn(drains(peers.clone(), terms.seed ^ 0xd4a1, terms.lease));
     sleep(terms.lease * 2).await;
     let mut rng = StdRng::seed_from_u64(terms.seed);
     let mut faults = tokio::task::JoinSet::new();
@@ -542,6 +554,7 @@
     faults.abort_all();
     board.mend();
     offering.abort();
+    draining.abort();
     let mended = stage.now();
     progress(mended, "all mended");
     peace(&stage).await;
@@ -576,6 +589,21 @@
     Ok((report, frames, done.faults))
 }
 
+/// Hosts of the build that stands drain and come back as other processes, one after the other; one always stays.
+async fn drains(peers: Arc<Peers>, seed: u64, lease: Duration) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    sleep(lease * 2).await;
+    loop {
+        for host in [2, 4] {
+            // Away for longer than the bound, so that one who did not hear of it is seen.
+            for part in [rng.random_range(1.2..3.0), rng.random_range(0.2..1.5)] {
+                peers.turn(host);
+                sleep(lease.mul_f64(part)).await;
+            }
+        }
+    }
+}
+
 /// With nothing wrong any more a revision that opens the way comes into force, and every router then uses it.
 async fn peace(stage: &Arc<Stage>) {
     let known = stage.known().await;
--- a/crates/spokeflow-standin/src/main.rs
+++ b/crates/spokeflow-standin/src/main.rs
@@ -73,6 +73,9 @@
     /// The routers' lease, which bounds every contradiction
     #[arg(long, default_value = "1500ms", value_parser = humantime::parse_duration)]
     lease: std::time::Duration,
+    /// Routers hear the host list from its source, not from the keepers
+    #[arg(long)]
+    own_list: bool,
     /// Nothing fails; each revision is offered as soon as the one before is in force
     #[arg(long)]
     peace: bool,
@@ -229,6 +232,7 @@
         silence: flags.lease / 5,
         folder: flags.stores.clone().unwrap_or_else(own),
         keep: flags.stores.is_some(),
+        agreed_list: !flags.own_list,
         peace: flags.peace,
         pace: flags.pace,
     };
