Rig: a promise is its process's by when its connection began; guards with tests of their own

Cause: the checker. A connection's opening message is read when it is accepted: promises go by that now.

--- a/crates/spokeflow-agreed/tests/search.rs
+++ b/crates/spokeflow-agreed/tests/search.rs
@@ -385,3 +385,45 @@
     println!("an earlier leader's offer: {worlds} worlds to depth {depth}, a revision in force in {forced}");
     assert!(worlds > 10_000, "{worlds} {forced}");
 }
+
+/// A leader that has just been elected may hold a committed revision that its ledger does not show yet: others have been
+/// granted on it.
+#[test]
+fn a_leader_whose_own_entry_does_not_stand_yet_grants_nothing() {
+    let mut world = settled();
+    let first = world.leader().unwrap();
+    let others: Vec<usize> = (0..KEEPERS).filter(|n| *n != first).collect();
+    world.offer(first).unwrap();
+    world.peace(&[0, 1, 2], |w| w.told.len() == 1);
+    // Known to be committed by the first alone, which is gone.
+    world.wire.clear();
+    world.peace(&others, |w| others.iter().any(|n| w.keepers[*n].member().is_elected()));
+    let second = others.iter().copied().find(|n| world.keepers[*n].member().is_elected()).unwrap();
+    let third = others.iter().copied().find(|n| *n != second).unwrap();
+    assert!(world.keepers[second].ledger().announced.is_none(), "it does not show yet");
+    // The other answers, so that it leads; its own write is not on the disk, so that nothing is committed.
+    for _ in 0..20 {
+        let Some(k) =
+            world.wire.iter().position(|m| matches!(m, Message::ToKeeper(_, to, _) if *to != first))
+        else {
+            break;
+        };
+        world.deliver(k).unwrap();
+        while !world.unsynced[third].is_empty() {
+            world.sync(third).unwrap();
+        }
+    }
+    assert!(world.keepers[second].member().leads(world.now), "its lease on leadership holds");
+    world.wire.clear();
+    world.ask(1, second);
+    world.deliver(0).unwrap();
+    assert!(matches!(world.wire[..], [Message::Answers(1, _, Answer::NoLeader)]), "{:?}", world.wire);
+    while !world.unsynced[second].is_empty() {
+        world.sync(second).unwrap();
+    }
+    world.wire.clear();
+    world.ask(1, second);
+    world.deliver(0).unwrap();
+    let told = |m: &Message| matches!(m, Message::Answers(1, _, Answer::Granted(g)) if g.announced.is_some());
+    assert!(told(&world.wire[0]), "{:?}", world.wire);
+}
--- a/crates/spokeflow-quorum/tests/member.rs
+++ b/crates/spokeflow-quorum/tests/member.rs
@@ -163,6 +163,8 @@
     };
     let out = hear(&mut other, at, A, old);
     assert!(out.writes.is_empty() && out.committed.is_empty(), "{out:?}");
+    // Refused, its leader would begin ever further back, at places that this one no longer has.
+    assert!(matches!(out.messages[..], [(A, Message::Appended { upto: Ok(Place(4)), .. })]), "{out:?}");
 }
 
 #[test]
--- a/crates/spokeflow-standin/src/fleet/check.rs
+++ b/crates/spokeflow-standin/src/fleet/check.rs
@@ -180,6 +180,7 @@
         grants: 0,
         leaders: 0,
     };
+    let mut begun: HashMap<u64, Micros> = HashMap::new();
     let mut asks: HashMap<(u64, u64), (Micros, Node, &Ask)> = HashMap::new();
     let mut verdicts: HashMap<u64, Verdict> = HashMap::new();
     let mut tokens: HashMap<u64, u64> = HashMap::new();
@@ -190,6 +191,9 @@
     order.sort_by_key(|f| f.at);
     for frame in order {
         match &frame.what {
+            Crossed::Up(ToKeeper::Hello { .. }) => {
+                begun.insert(frame.conn, frame.at);
+            }
             Crossed::Up(ToKeeper::Ask { number, ask }) => {
                 asks.entry((frame.conn, *number)).or_insert((frame.at, frame.from, ask));
             }
@@ -206,7 +210,9 @@
                     Message::Appended { upto, .. } => upto.is_ok(),
                     _ => false,
                 };
-                let other = |d: &&(u32, Micros, Micros)| d.0 == from && (d.1..d.2).contains(&frame.at);
+                // By when its connection began: what an earlier process said may still be on its way.
+                let at = begun.get(&frame.conn).copied().unwrap_or(frame.at);
+                let other = |d: &&(u32, Micros, Micros)| d.0 == from && (d.1..d.2).contains(&at);
                 if promises && done.other_disk.iter().any(|d| other(&d)) {
                     broken.push(format!(
                         "keeper {from} promised on a disk that is not its own: {message:?} at {} ms",
