The router's links apart by peer; routers no longer call each other

list.rs and desk.rs hold one link each, links.rs what they share, arrival.rs what reaches the engine's task.

--- a/crates/spokeflow-router/src/arrival.rs
+++ b/crates/spokeflow-router/src/arrival.rs
@@ -9,8 +9,6 @@
     Input(Input),
     ClientOpened(u64, mpsc::Sender<ToClient>),
     ClientGone(u64),
-    RouterOpened(u64, u32),
-    Told(u64, Vec<u8>),
     /// From the keepers: what may be acted on until then, and the newest revision that it respects.
     Agreed {
         until: Micros,
--- a/crates/spokeflow-router/src/clients.rs
+++ b/crates/spokeflow-router/src/clients.rs
@@ -1,4 +1,4 @@
-//! Connections that others make to the router: clients, and routers that tell what they have seen.
+//! Connections that clients make to the router.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,7 +29,6 @@
     pub peer: SocketAddr,
     pub core: mpsc::Sender<Arrival>,
     pub queue: usize,
-    pub fleet: u32,
     pub clock: Arc<Clock>,
     /// Held while the connection stands: so many are allowed.
     pub _place: OwnedSemaphorePermit,
@@ -43,8 +42,7 @@
         let _ = stream.set_nodelay(true);
         let mut link = Framed::with_capacity(stream, FrameCodec::new(HELLO_LIMIT), IDLE_ROOM);
         let fault = match self.opening(&mut link).await {
-            Ok(Role::Client) => self.client(&mut link).await,
-            Ok(Role::Router) => self.router(&mut link).await,
+            Ok(()) => self.client(&mut link).await,
             Err(fault) => Err(fault),
         };
         match fault {
@@ -74,20 +72,14 @@
         .await;
     }
 
-    async fn opening(&self, link: &mut Link) -> Result<Role, FrameFault> {
+    async fn opening(&self, link: &mut Link) -> Result<(), FrameFault> {
         let first = timeout(HELLO_WAIT, link.next()).await.map_err(|_| FrameFault::OutOfOrder)?;
         let Some(first) = first else { return Err(FrameFault::Truncated { have: 0 }) };
         let FromClient::Hello(hello) = first? else { return Err(FrameFault::OutOfOrder) };
-        hello.check(&[Role::Client, Role::Router])?;
-        if hello.role == Role::Router && hello.index >= self.fleet {
-            return Err(FrameFault::WrongRole);
-        }
+        hello.check(&[Role::Client])?;
         link.codec_mut().set_limit(WORK_LIMIT);
-        if hello.role == Role::Router {
-            let _ = self.core.send(Arrival::RouterOpened(self.conn, hello.index)).await;
-        }
         link.send(ToClient::Welcome).await?;
-        Ok(hello.role)
+        Ok(())
     }
 
     async fn client(&self, link: &mut Link) -> Result<(), FrameFault> {
@@ -138,14 +130,4 @@
             Err(FrameFault::TooSlow)
         }
     }
-
-    async fn router(&self, link: &mut Link) -> Result<(), FrameFault> {
-        while let Some(message) = link.next().await {
-            let FromClient::Told { text } = message? else { return Err(FrameFault::OutOfOrder) };
-            if self.core.send(Arrival::Told(self.conn, text.to_vec())).await.is_err() {
-                break;
-            }
-        }
-        Ok(())
-    }
 }
--- /dev/null
+++ b/crates/spokeflow-router/src/desk.rs
@@ -0,0 +1,75 @@
+//! The link that the router keeps to the desk.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use spokeflow_engine::Input;
+use spokeflow_proto::{FrameFault, FromDesk, ToDesk, WORK_LIMIT};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, Instant};
+use tracing::{info, warn};
+
+use crate::arrival::Arrival;
+use crate::hosts::LinkTerms;
+use crate::links::{open, Link, DESK_WAY};
+
+pub struct DeskLink {
+    pub address: SocketAddr,
+    pub terms: Arc<LinkTerms>,
+    pub core: mpsc::Sender<Arrival>,
+    pub votes: mpsc::Receiver<ToDesk>,
+}
+
+impl DeskLink {
+    pub async fn run(mut self) {
+        let mut failures = 0_u32;
+        let mut pauses = self.terms.pauses(DESK_WAY);
+        loop {
+            let wait = self.terms.connect_timeout.max(Duration::from_secs(1));
+            let hello = ToDesk::Hello(self.terms.hello.clone());
+            let opened =
+                open(self.address, WORK_LIMIT, wait, hello, |m| matches!(m, FromDesk::Welcome)).await;
+            let fault = match opened {
+                Ok(link) => {
+                    let since = Instant::now();
+                    info!("desk connected");
+                    let fault = self.talk(link).await;
+                    failures = if since.elapsed() > self.terms.longest_pause { 0 } else { failures + 1 };
+                    fault
+                }
+                Err(fault) => {
+                    failures += 1;
+                    fault
+                }
+            };
+            // A vote that is out when the link breaks may count.
+            while self.votes.try_recv().is_ok() {}
+            if self.core.send(Arrival::Input(Input::DeskGone)).await.is_err() {
+                return;
+            }
+            warn!(failures, %fault, "desk link lost");
+            sleep(pauses.after(failures.saturating_sub(1))).await;
+        }
+    }
+
+    async fn talk(&mut self, mut link: Link<FromDesk, ToDesk>) -> FrameFault {
+        loop {
+            tokio::select! {
+                read = link.next() => match read {
+                    Some(Ok(message)) => {
+                        if self.core.send(Arrival::Input(Input::FromDesk(message))).await.is_err() {
+                            return FrameFault::TooSlow;
+                        }
+                    }
+                    Some(Err(fault)) => return fault,
+                    None => return FrameFault::Truncated { have: 0 },
+                },
+                Some(vote) = self.votes.recv() => if let Err(fault) = link.send(vote).await {
+                    return fault;
+                },
+            }
+        }
+    }
+}
--- a/crates/spokeflow-router/src/lib.rs
+++ b/crates/spokeflow-router/src/lib.rs
@@ -6,9 +6,11 @@
 mod arrival;
 pub mod carry;
 mod clients;
+mod desk;
 mod hosts;
 mod keepers;
 mod links;
+mod list;
 mod program;
 mod revision;
 mod serve;
--- a/crates/spokeflow-router/src/serve.rs
+++ b/crates/spokeflow-router/src/serve.rs
@@ -21,9 +21,10 @@
 
 use crate::arrival::Arrival;
 use crate::clients::Client;
+use crate::desk::DeskLink;
 use crate::hosts::{HostLink, LinkTerms, Listed};
 use crate::keepers::KeeperLink;
-use crate::links::{read_list, DeskLink, ListLink, PeerLink};
+use crate::list::{read_list, ListLink};
 use crate::RouterTerms;
 
 /// Arrivals that wait for the engine at most; a task whose arrival finds no room waits, and so does its peer.
@@ -70,7 +71,6 @@
     hosts: HashMap<HostId, HostHandle>,
     list: mpsc::Sender<ToList>,
     desk: mpsc::Sender<ToDesk>,
-    peers: HashMap<u32, mpsc::Sender<Vec<u8>>>,
     links: Arc<LinkTerms>,
     host_queue: usize,
     drain_grace: Duration,
@@ -99,12 +99,8 @@
         self.desk.try_send(message).is_ok()
     }
 
-    fn to_routers(&mut self, router: Option<u32>, text: &[u8]) {
-        for (_, peer) in self.peers.iter().filter(|(index, _)| router.is_none_or(|r| r == **index)) {
-            // What is not told in time is told no more: it is evidence of a moment.
-            let _ = peer.try_send(text.to_vec());
-        }
-    }
+    /// Routers tell each other nothing.
+    fn to_routers(&mut self, _router: Option<u32>, _text: &[u8]) {}
 
     fn host_open(&mut self, host: HostId, address: &str, incarnation: u64) {
         let listed =
@@ -182,12 +178,6 @@
         let link = KeeperLink::new(&terms, seed, clock.clone(), core.clone(), applied);
         helpers.spawn(link.run());
     }
-    let mut peers = HashMap::new();
-    for &(index, address) in &terms.peers {
-        let (tell, texts) = mpsc::channel(FEW);
-        helpers.spawn(PeerLink { index, address, terms: links.clone(), texts }.run());
-        peers.insert(index, tell);
-    }
     let mut wires = Wires {
         clock: clock.clone(),
         core: core.clone(),
@@ -196,7 +186,6 @@
         hosts: HashMap::new(),
         list,
         desk,
-        peers,
         links: to_hosts,
         host_queue: terms.host_queue,
         drain_grace: terms.service.drain_grace,
@@ -211,12 +200,10 @@
         places: Arc::new(Semaphore::new(terms.clients_at_most)),
         core,
         queue: terms.client_queue,
-        fleet: terms.service.fleet_size,
         clock: clock.clone(),
         clients: clients.clone(),
     };
     let accepting = helpers.spawn(accepting.run());
-    let mut routers: HashMap<u64, u32> = HashMap::new();
     let mut batch = Vec::with_capacity(AT_ONCE);
     let mut give = |engine: &mut Engine, wires: &mut Wires, input: Input| {
         let now = clock.now();
@@ -272,17 +259,8 @@
                 }
                 Arrival::ClientGone(conn) => {
                     wires.clients.remove(&conn);
-                    routers.remove(&conn);
                     give(&mut engine, &mut wires, Input::ClientGone { conn });
                 }
-                Arrival::RouterOpened(conn, index) => {
-                    routers.insert(conn, index);
-                }
-                Arrival::Told(conn, text) => {
-                    if let Some(&router) = routers.get(&conn) {
-                        give(&mut engine, &mut wires, Input::Told { router, text });
-                    }
-                }
                 Arrival::Agreed { until, terms, revision } => {
                     give(&mut engine, &mut wires, Input::Agreed { until, terms });
                     acts_on.send_if_modified(|r| std::mem::replace(r, revision) != revision);
@@ -328,7 +306,6 @@
     places: Arc<Semaphore>,
     core: mpsc::Sender<Arrival>,
     queue: usize,
-    fleet: u32,
     clock: Arc<Clock>,
     clients: TaskTracker,
 }
@@ -359,7 +336,6 @@
                 peer,
                 core: self.core.clone(),
                 queue: self.queue,
-                fleet: self.fleet,
                 clock: self.clock.clone(),
                 _place: place,
             };
