A keeper that joins learns from its callers where to answer

Found by a check of the rig that was written for another guard: of three keepers that had taken the first three's places, the last never answered the leader. Cause, from the frames: its flags name the first keepers only, the leader had itself joined, and the ledger that has the leader's address comes from the leader, to whom it could not answer (Shell::say_to had no address).

Keepers tell the addresses that they know with their opening message, and keep at most 32 that they were told, for want of better.

--- a/crates/spokeflow-agreed/src/keeper.rs
+++ b/crates/spokeflow-agreed/src/keeper.rs
@@ -1,7 +1,7 @@
 //! One keeper as a state machine, without I/O: its member of the log, the ledger that the log makes, the leases that it
 //! gives while it leads, and the requests that wait for an answer.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use spokeflow_core::Micros;
 use spokeflow_quorum::{Body, KeeperId, Member, Message, Out, Place, QuorumTerms, Saved, Term, Write};
@@ -16,6 +16,8 @@
 const KEPT: usize = 500;
 /// Requests that wait at most: beyond, one more is told that nobody leads.
 const WAITING: usize = 4096;
+/// Addresses that are kept of what callers told.
+const LEARNED: usize = 32;
 /// News of the list that waits for news before it at most.
 const LIST_WAITS: usize = 64;
 /// An offer that is not committed within this time is told to be unclear, and a request to another keeper given up.
@@ -68,6 +70,8 @@
     /// While it leads: for which term, and who holds leases.
     granter: Option<(Term, Granter)>,
     seats: Seats,
+    /// Addresses that callers told, for want of better knowledge.
+    learned: BTreeMap<KeeperId, String>,
     /// The revision that it has asked the log to put in force, and when.
     forcing: Option<(Term, RevisionNo)>,
     /// By token, offers that are in the log and not committed.
@@ -105,6 +109,7 @@
             applied,
             granter: None,
             seats: Seats::default(),
+            learned: BTreeMap::new(),
             forcing: None,
             offers: BTreeMap::new(),
             passed: BTreeMap::new(),
@@ -128,7 +133,23 @@
 
     /// Where a keeper is to be found: as the flags say, else as the ledger does.
     pub fn address(&self, id: KeeperId) -> Option<&str> {
-        self.terms.addresses.get(&id).or_else(|| self.ledger.seats.get(&id)).map(String::as_str)
+        let known = self.terms.addresses.get(&id).or_else(|| self.ledger.seats.get(&id));
+        known.or_else(|| self.learned.get(&id)).map(String::as_str)
+    }
+
+    /// All that it knows of where keepers are to be found.
+    pub fn addresses(&self) -> Vec<(KeeperId, String)> {
+        let ids = self.terms.addresses.keys().chain(self.ledger.seats.keys()).chain(self.learned.keys());
+        let ids: BTreeSet<KeeperId> = ids.copied().collect();
+        ids.into_iter().filter_map(|id| Some((id, self.address(id)?.to_string()))).collect()
+    }
+
+    /// Another keeper said where some are to be found.
+    pub fn learn(&mut self, seats: &[(KeeperId, String)]) {
+        self.learned.extend(seats.iter().take(LEARNED).cloned());
+        while self.learned.len() > LEARNED {
+            self.learned.pop_first();
+        }
     }
 
     /// Told to routers: those whose first keepers have all been replaced would else find none.
--- a/crates/spokeflow-agreed/src/wire.rs
+++ b/crates/spokeflow-agreed/src/wire.rs
@@ -30,6 +30,8 @@
         /// process which was met has lost what that one promised, however often it has been started since.
         processes: Vec<u64>,
         common: Common,
+        /// Where it knows keepers to be found: one that joins has no ledger yet to find the leader by.
+        seats: Vec<(KeeperId, String)>,
     },
     Router {
         index: u32,
--- a/crates/spokeflow-keeper/src/calls.rs
+++ b/crates/spokeflow-keeper/src/calls.rs
@@ -20,7 +20,7 @@
 /// A caller says who it is, and takes what it is sent, within this time.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Longest frame, in bytes, before the caller has said who it is.
-const HELLO_LIMIT: usize = 512;
+const HELLO_LIMIT: usize = 4096;
 /// Longest frame of a router or a person, in bytes: an offer.
 const ASK_LIMIT: usize = 64 << 10;
 /// Answers that wait for one caller at most; one that does not read them is closed.
@@ -65,14 +65,20 @@
         if magic != MAGIC || version != VERSION {
             return Err((Refusal::Version, format!("this end speaks version {VERSION} of keepers")));
         }
-        if let Caller::Keeper { id, start, processes, common } = &caller {
+        if let Caller::Keeper { id, start, processes, common, seats } = &caller {
             if *common != self.common {
                 let text = format!("keeper {} was told {common:?}, this one {:?}", id.0, self.common);
                 return Err((Refusal::Terms, text));
             }
             // Answered by the task that knows all that was met, once it is on the disk.
             let (answer, met) = oneshot::channel();
-            let asked = Arrival::Met { id: *id, start: *start, processes: processes.clone(), answer };
+            let asked = Arrival::Met {
+                id: *id,
+                start: *start,
+                processes: processes.clone(),
+                seats: seats.clone(),
+                answer,
+            };
             let _ = self.core.send(asked).await;
             if let Ok(Err(text)) = met.await {
                 return Err((Refusal::OldDisk, text));
--- a/crates/spokeflow-keeper/src/peers.rs
+++ b/crates/spokeflow-keeper/src/peers.rs
@@ -9,7 +9,7 @@
 use spokeflow_proto::FrameCodec;
 use spokeflow_quorum::KeeperId;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
@@ -25,6 +25,8 @@
     pub id: KeeperId,
     pub address: SocketAddr,
     pub caller: Caller,
+    /// Told with each call, as it is then.
+    pub seats: watch::Receiver<Vec<(KeeperId, String)>>,
     pub pauses: Pauses,
     pub core: mpsc::Sender<Arrival>,
     pub queue: mpsc::Receiver<ToKeeper>,
@@ -63,7 +65,11 @@
         let stream = TcpStream::connect(self.address).await.map_err(|_| None)?;
         let _ = stream.set_nodelay(true);
         let mut link: Link = Framed::with_capacity(stream, FrameCodec::new(LIMIT), 4096);
-        link.send(ToKeeper::hello(self.caller.clone())).await.map_err(|_| None)?;
+        let mut caller = self.caller.clone();
+        if let Caller::Keeper { seats, .. } = &mut caller {
+            seats.clone_from(&self.seats.borrow());
+        }
+        link.send(ToKeeper::hello(caller)).await.map_err(|_| None)?;
         match link.next().await {
             Some(Ok(FromKeeper::Welcome { .. })) => Ok(link),
             Some(Ok(FromKeeper::Refused { why, text })) => Err(Some((why, text))),
--- a/crates/spokeflow-keeper/src/serve.rs
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -44,6 +44,7 @@
         id: KeeperId,
         start: u64,
         processes: Vec<u64>,
+        seats: Vec<(KeeperId, String)>,
         answer: oneshot::Sender<Result<(), String>>,
     },
     /// Another keeper says that this one's disk is old.
@@ -101,6 +102,7 @@
     callers: HashMap<u64, mpsc::Sender<(u64, Answer)>>,
     peers: BTreeMap<KeeperId, (SocketAddr, mpsc::Sender<ToKeeper>)>,
     met: BTreeMap<KeeperId, Start>,
+    seats: watch::Sender<Vec<(KeeperId, String)>>,
     to_disk: std::sync::mpsc::Sender<ToDisk>,
     steps: Arc<Steps>,
     /// What was last said of it in the log.
@@ -177,6 +179,13 @@
     /// All who vote are called at once, not when there is something to say: a start that only a few have met could be
     /// taken back unseen.
     fn reach(&mut self) {
+        let seats = self.keeper.addresses();
+        self.seats.send_if_modified(|s| {
+            *s != seats && {
+                *s = seats;
+                true
+            }
+        });
         let (members, own) = (self.keeper.member().members().to_vec(), self.keeper.member().own());
         for member in members.into_iter().filter(|m| *m != own) {
             self.link(member);
@@ -189,7 +198,8 @@
             let (say, queue) = mpsc::channel(PEER_QUEUE);
             let pauses = Pauses::new(self.seed, u64::from(id.0), FIRST_PAUSE, LONGEST_PAUSE);
             let (caller, core) = (self.caller.clone(), self.core.clone());
-            tokio::spawn(PeerLink { id, address, caller, pauses, core, queue }.run());
+            let seats = self.seats.subscribe();
+            tokio::spawn(PeerLink { id, address, caller, seats, pauses, core, queue }.run());
             self.peers.insert(id, (address, say));
         }
         self.peers.get(&id).map(|p| &p.1)
@@ -240,7 +250,7 @@
     }
     let (own, list) = (KeeperId(flags.id), flags.list);
     let common = flags.common();
-    let caller = Caller::Keeper { id: own, start, processes, common };
+    let caller = Caller::Keeper { id: own, start, processes, common, seats: Vec::new() };
     let keeper = Keeper::new(terms, seed, saved, clock.now())?;
     let places = Arc::new(Semaphore::new(flags.callers_at_most));
     let mut shell = Shell {
@@ -251,6 +261,7 @@
         core: core.clone(),
         callers: HashMap::new(),
         peers: BTreeMap::new(),
+        seats: watch::Sender::new(Vec::new()),
         met,
         to_disk,
         steps,
@@ -305,7 +316,11 @@
                 }
                 Arrival::Heard(from, message) => shell.keeper.heard(now, from, message, &mut step),
                 Arrival::PassedBack(number, answer) => shell.keeper.passed_back(number, answer, &mut step),
-                Arrival::Met { id, start, processes, answer } => shell.meet(id, start, &processes, answer),
+                Arrival::Met { id, start, processes, seats, answer } => {
+                    shell.keeper.learn(&seats);
+                    shell.meet(id, start, &processes, answer);
+                    shell.reach();
+                }
                 Arrival::Synced(number) => shell.keeper.synced(now, number, &mut step),
                 // It may have voted and forgotten it: it must not vote again.
                 Arrival::OldDisk(text) => break 'run Err(text),
