standin commits: what a commit of three keepers costs beside bare syncs of the disk

Offers against a revision that is not the newest are entries of the log, answered once committed; 1, 16 and 64 out at a time, in turn with bare syncs.

--- a/crates/spokeflow-standin/src/lib.rs
+++ b/crates/spokeflow-standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! this crate puts them on loopback sockets.
 
 pub mod clients;
+pub mod commits;
 pub mod day;
 pub mod fleet;
 pub mod hosts;
--- a/crates/spokeflow-standin/src/main.rs
+++ b/crates/spokeflow-standin/src/main.rs
@@ -5,6 +5,7 @@
 use clap::{Args, Parser, Subcommand};
 use spokeflow_keeper::KeeperProgram;
 use spokeflow_router::{main_with, RouterProgram};
+use spokeflow_standin::commits::{commits, CommitFlags};
 use spokeflow_standin::day::play;
 use spokeflow_standin::fleet::{self, FleetTerms};
 use spokeflow_standin::load::{load, pass_through, LoadFlags};
@@ -29,6 +30,8 @@
     /// Starts real keepers and routers with every link to a keeper through a switchboard, plays drawn faults between them
     /// and checks from what crossed it. Exit code 0: all kept; 1: something broken; 2: wrong use
     Fleet(FleetFlags),
+    /// What a commit of three keepers costs, beside bare syncs of the same disk
+    Commits(CommitFlags),
     /// The kinds of trouble, one a line
     Troubles,
     /// Puts an open loop of commands on one router, beside a plain pass-through on the same codec in turn, and
@@ -143,6 +146,16 @@
                 ExitCode::from(2)
             }
         },
+        What::Commits(flags) => {
+            let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+            match runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(commits(&flags))) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(what) => {
+                    eprintln!("spokeflow-standin: {what}");
+                    ExitCode::from(2)
+                }
+            }
+        }
         What::Pass { host } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             match runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(pass_through(&host))) {
