--- a/crates/spokeflow-agreed/src/keeper.rs
+++ b/crates/spokeflow-agreed/src/keeper.rs
@@ -51,6 +51,8 @@
     pub writes: Vec<Write>,
     /// Whether the ledger has changed.
     pub changed: bool,
+    /// Its ledger is not what the log says: it must end before anything of this step leaves.
+    pub broken: Option<String>,
     /// News of the list's source that is not believed, for the log; it is to be read once more.
     pub doubt: Option<Doubt>,
 }
@@ -354,7 +356,10 @@
         loop {
             if let Some(snapshot) = out.restored.take() {
                 // Written by a keeper that read its own: if this one cannot, it must not go on as if it could.
-                self.ledger = Ledger::restore(&snapshot.state).unwrap_or_default();
+                match Ledger::restore(&snapshot.state) {
+                    Ok(ledger) => self.ledger = ledger,
+                    Err(what) => step.broken = Some(what),
+                }
                 (self.applied, step.changed) = (snapshot.upto, true);
                 self.note_hosts(now);
             }
--- a/crates/spokeflow-keeper/src/serve.rs
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -327,6 +327,10 @@
                 Arrival::DiskFails(what) => break 'run Err(what),
                 Arrival::List(news) => shell.keeper.list_told(now, news, &mut step),
             }
+            // An empty ledger in its place would be granted on.
+            if let Some(what) = step.broken {
+                break 'run Err(what);
+            }
             shell.carry_out(step);
         }
         let now = clock.now();
