Tests of the platform: each router has an address that the system deals out to nobody

Seen: in 40 runs of the two test files under load one, and one run of the workspace before, 'the router comes up: Elapsed'. The fixture took a port that was free a moment before; between that and the router's listening the system may deal it out as the near end of another connection (8,565 in TIME_WAIT then), and the router ends with 'address in use'. Its standard error went nowhere, so this reading rests on the count and not on a caught log; the fixture now keeps it and prints it when a router does not come up. Each router gets a loopback address of its own at a port below those the system deals out.

--- a/crates/spokeflow-router/tests/scene/mod.rs
+++ b/crates/spokeflow-router/tests/scene/mod.rs
@@ -357,9 +357,10 @@
         std::fs::create_dir_all(&folder).unwrap();
         let (lines, told) = watch::channel(list);
         let discovery = discovery(told).await;
-        let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = free.local_addr().unwrap().to_string();
-        drop(free);
+        // An address of its own, and a port that the system deals out to nobody: one that was free a moment ago may be
+        // the near end of another test's connection by the time the router listens.
+        let (pid, n_th) = (std::process::id(), 1 + n % 250);
+        let address = format!("127.{}.{}.{n_th}:8081", 64 + (pid >> 8) % 64, pid % 256);
         let file = folder.join("config.json");
         lay(&address, &discovery, &file);
         let child = Command::new(env!("CARGO_BIN_EXE_spokeflow-router"))
@@ -367,7 +368,7 @@
             .env("GW_CONFIG", &file)
             .env("GW_NAME", "n0")
             .env("GW_LISTEN", &address)
-            .stderr(Stdio::null())
+            .stderr(Stdio::from(std::fs::File::create(folder.join("log")).unwrap()))
             .kill_on_drop(true)
             .spawn()
             .unwrap();
@@ -375,13 +376,15 @@
     }
 
     pub async fn up(&self) {
-        timeout(SOON, async {
+        let up = timeout(SOON, async {
             while self.status("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").await != Some(200) {
                 sleep(Duration::from_millis(10)).await;
             }
-        })
-        .await
-        .expect("the router comes up");
+        });
+        if up.await.is_err() {
+            let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+            panic!("the router does not come up: {log}");
+        }
     }
 
     pub async fn connect(&self) -> TcpStream {
