Engine: tests of the window of repeats, of calls back and of giving up, without sockets

Each fails without its line: repeat_by in Carrier::deliver (leave_by is the command's), may_have_run cleared in ended (the first that never ran binds), recall in Book::answer and left, recall_lowered.

--- a/crates/spokeflow-engine/tests/common/mod.rs
+++ b/crates/spokeflow-engine/tests/common/mod.rs
@@ -21,6 +21,7 @@
     pub answers: Vec<(Micros, u64, ToClient)>,
     pub votes: Vec<ToDesk>,
     pub closed: Vec<(u32, bool)>,
+    pub recalled: Vec<(u32, Option<u64>)>,
     /// A host whose queue has no room.
     pub stuffed: Option<u32>,
     /// All that was sent, in order.
@@ -78,6 +79,9 @@
     fn host_open(&mut self, host: HostId, address: &str, incarnation: u64) {
         self.note((host, address, incarnation));
     }
+    fn recall(&mut self, host: HostId, delivery: Option<u64>) {
+        self.recalled.push((host.0, delivery));
+    }
     fn host_closed(&mut self, host: HostId, gone: bool) {
         self.note((host, gone));
         self.closed.push((host.0, gone));
--- a/crates/spokeflow-engine/tests/engine.rs
+++ b/crates/spokeflow-engine/tests/engine.rs
@@ -9,6 +9,7 @@
 use spokeflow_proto::{FromDesk, FromHost, FromList, Line, LinePhase, News, NewsStanding, ToClient};
 
 const SAFE: u16 = 0;
+const KEYED: u16 = 1;
 const ONCE: u16 = 2;
 
 #[test]
@@ -359,6 +360,65 @@
     assert!(new > 10 && new as f64 <= 0.05 * (old + new) as f64 + 1.0, "{old} {new}");
 }
 
+/// The told memory of 0.8 s counts from the first delivery that may have run, wherever the repeat is held up.
+#[test]
+fn a_repeat_has_to_leave_while_hosts_remember_the_first() {
+    let mut rig = Rig::new(5, 0);
+    rig.list(&[1, 2, 3], 7);
+    rig.command(10, 1, KEYED, 0);
+    let (host, delivery) = rig.delivered();
+    rig.pass(100_000);
+    rig.input(Input::NotDelivered { host, delivery, end: NoAnswer::NotConnected });
+    let (host, delivery) = rig.delivered();
+    let first = rig.now;
+    rig.pass(300_000);
+    rig.input(Input::NotDelivered { host, delivery, end: NoAnswer::Reset });
+    rig.delivered();
+    let by: Vec<Micros> = rig.links.leave_by.iter().map(|l| l.1).collect();
+    assert_eq!(by.len(), 3);
+    assert!(by[1] > first + SECOND, "one that never ran is no first: {by:?}");
+    assert_eq!(by[2], first + 800_000);
+}
+
+#[test]
+fn what_has_not_left_is_called_back_once_its_command_is_answered_or_left() {
+    let mut rig = Rig::new(5, 0);
+    rig.list(&[1, 2], 7);
+    rig.command(10, 1, SAFE, 0);
+    let (host, delivery) = rig.delivered();
+    rig.input(Input::ClientGone { conn: 10 });
+    assert!(rig.links.recalled.contains(&(host, Some(delivery))));
+    rig.command(11, 2, ONCE, 0);
+    let (host, delivery) = rig.delivered();
+    rig.input(Input::GiveUp);
+    // It may have run: no nack.
+    assert!(matches!(rig.answers(11)[..], [ToClient::Failed { id: 2 }]));
+    assert!(rig.links.recalled.contains(&(host, Some(delivery))));
+    assert_eq!(rig.engine.held(), 0);
+    rig.input(Input::GiveUp);
+    assert_eq!(rig.answers(11).len(), 1);
+}
+
+/// Called back: hosts of the build whose cap fell, and no others.
+#[test]
+fn a_cap_that_falls_calls_back_what_waits_for_that_build() {
+    let mut rig = Rig::new(5, 0);
+    on_trial(&mut rig);
+    let news = |build, standing, cap| {
+        Input::FromDesk(FromDesk::News(News { build, stage: 0, standing, cap, age_us: 0 }))
+    };
+    rig.input(news(8, NewsStanding::OnTrial, 0.1));
+    rig.input(news(8, NewsStanding::OnTrial, 0.4));
+    rig.links.recalled.clear();
+    rig.input(news(8, NewsStanding::OnTrial, 0.4));
+    rig.input(news(8, NewsStanding::Released, 1.0));
+    assert!(rig.links.recalled.is_empty(), "{:?}", rig.links.recalled);
+    rig.input(news(8, NewsStanding::GoingBack, 0.0));
+    let mut hosts: Vec<_> = rig.links.recalled.drain(..).collect();
+    hosts.sort_unstable();
+    assert!(!hosts.is_empty() && hosts.iter().all(|h| h.0 > 2 && h.1.is_none()), "{hosts:?}");
+}
+
 fn lines(hosts: &[(u32, LinePhase, u64)]) -> Vec<Line> {
     let line = |h: &(u32, LinePhase, u64)| Line {
         host: h.0,
