--- a/crates/spokeflow-platform/src/clients.rs
+++ b/crates/spokeflow-platform/src/clients.rs
@@ -24,11 +24,13 @@
 
 /// Bytes of a body at most, as the platform says.
 pub const BODY_LIMIT: usize = 64 << 10;
-/// A connection that has said nothing whole for so long is closed; the platform allows it from 2 s on.
+/// A connection that has said nothing whole for so long is closed: "a connection with no open request may be closed after
+/// 2 s" (days in service).
 const SILENT: Duration = Duration::from_secs(2);
-/// A connection that had its answers and is used no more is closed, if room has not been wanted before.
+/// A connection that had its answers and is used no more is closed, if room has not been wanted before: by the same term
+/// it might be after 2 s, and a client that comes back finds it standing for longer.
 const UNUSED: Duration = Duration::from_secs(15);
-/// A client that takes no byte of its answer for so long is closed.
+/// A client that takes none of its answer for so long is closed. Guards the descriptors; no term names a time.
 const STALL: Duration = Duration::from_secs(5);
 /// A first request that began within the time of silence gets so much more to come whole, at the least.
 const BEGUN: Duration = Duration::from_millis(500);
--- a/crates/spokeflow-platform/src/deployer.rs
+++ b/crates/spokeflow-platform/src/deployer.rs
@@ -23,7 +23,7 @@
 const LINE_LIMIT: usize = 8 << 10;
 /// A connection stands by then, or another is tried: "some connections come up late (up to 1 s)" (standing test).
 const CONNECTED: Duration = Duration::from_secs(1);
-/// A sign of life comes every second: without three of them the way is taken for dead.
+/// "A sign of life comes every second" (protocol page): without three of them the way is taken for dead.
 const SILENCE: Duration = Duration::from_millis(3500);
 
 /// Lines, without the rest of one that a broken connection leaves: a number cut short reads as another number.
--- a/crates/spokeflow-platform/src/discovery.rs
+++ b/crates/spokeflow-platform/src/discovery.rs
@@ -17,7 +17,7 @@
 use crate::serve::Arrival;
 use crate::{Clock, Pauses};
 
-/// An empty line comes every 2 s while nothing changes: silence for longer than two of them is a dead way.
+/// "An empty line comes every 2 s while nothing changes" (protocol page): silence for longer than two of them is a dead way.
 const SILENCE: Duration = Duration::from_secs(5);
 pub const FIRST_PAUSE: Duration = Duration::from_millis(50);
 pub const LONGEST_PAUSE: Duration = Duration::from_secs(1);
