An empty line between two requests begins none; its connection is not answered unasked

Seen on reading the change once more: `Link::begun` took any byte left in the buffer for a request that had begun, and a client that sends an empty line behind a request (RFC 9112, 2.2) was answered 400 two seconds later. Lines at fault: `begun` and the branch on `until` in clients.rs.

Tests: the start that three shutdown tests shared is one function.

--- a/crates/spokeflow-platform/src/clients.rs
+++ b/crates/spokeflow-platform/src/clients.rs
@@ -30,7 +30,7 @@
 /// A connection that had its answers and is used no more is closed, if room has not been wanted before: by the same term
 /// it might be after 2 s, and a client that comes back finds it standing for longer.
 const UNUSED: Duration = Duration::from_secs(15);
-/// A client that takes none of its answer for so long is closed. Guards the descriptors; no term names a time.
+/// A client that has not taken its answer whole by then is closed. Guards the descriptors; no term names a time.
 const STALL: Duration = Duration::from_secs(5);
 /// A first request that began within the time of silence gets so much more to come whole, at the least.
 const BEGUN: Duration = Duration::from_millis(500);
@@ -154,9 +154,9 @@
 }
 
 impl Link {
-    /// Whether a request has begun and is not whole.
+    /// Whether a request has begun and is not whole. Empty lines between two begin none (RFC 9112, 2.2).
     fn begun(&self) -> bool {
-        self.codec.within() || !self.buf.is_empty()
+        self.codec.within() || self.buf.iter().any(|b| !b"\r\n".contains(b))
     }
 
     /// One more reading. Dropped half way it has read nothing.
@@ -264,7 +264,7 @@
                     }
                 }
                 _ = sleep_until(until) => {
-                    if begun {
+                    if link.begun() {
                         return Err(HttpFault::Unreadable("it does not go on"));
                     }
                 }
--- a/crates/spokeflow-router/tests/crossings.rs
+++ b/crates/spokeflow-router/tests/crossings.rs
@@ -69,6 +69,22 @@
     (Host::start(move |_| Deed::SayOnce(released.clone(), ok("held"))).await, release)
 }
 
+/// A router with one command that its host holds until it is told to answer.
+async fn with_one_held() -> (Scene, watch::Sender<bool>, TcpStream) {
+    let (host, release) = holding().await;
+    let (desk, _) = deployer(vec![]).await;
+    let scene = Scene::start(list(1, &[("s-a", &host.address, "Ready", 1)]), &desk, 256).await;
+    let mut held = scene.connect().await;
+    held.write_all(read("held").as_bytes()).await.unwrap();
+    host.heard(1).await;
+    (scene, release, held)
+}
+
+async fn served_and_ended(scene: &mut Scene, held: &mut TcpStream) {
+    assert_eq!(status(&timeout(SOON, read_message(held)).await.unwrap().unwrap()), Some(200));
+    assert!(timeout(SOON, scene.child.wait()).await.unwrap().unwrap().success());
+}
+
 /// SIGTERM, and then until the router has closed a connection that nobody used.
 async fn close_idle(scene: &Scene) {
     let mut idle = scene.connect().await;
@@ -82,12 +98,7 @@
 #[test]
 fn a_request_half_read_at_the_closing_is_answered_though_nothing_else_is_held() {
     run(async {
-        let (host, release) = holding().await;
-        let (desk, _) = deployer(vec![]).await;
-        let mut scene = Scene::start(list(1, &[("s-a", &host.address, "Ready", 1)]), &desk, 256).await;
-        let mut held = scene.connect().await;
-        held.write_all(read("held").as_bytes()).await.unwrap();
-        host.heard(1).await;
+        let (mut scene, release, mut held) = with_one_held().await;
         let mut half = scene.connect().await;
         let request = seal("half");
         let (first, rest) = request.split_at(request.len() - 3);
@@ -102,8 +113,7 @@
         scene.signal("-CONT");
         let answer = timeout(SOON, read_message(&mut half)).await.unwrap().expect("an answer and no close");
         assert_eq!(status(&answer), Some(503), "{answer}");
-        assert_eq!(status(&timeout(SOON, read_message(&mut held)).await.unwrap().unwrap()), Some(200));
-        assert!(timeout(SOON, scene.child.wait()).await.unwrap().unwrap().success());
+        served_and_ended(&mut scene, &mut held).await;
     });
 }
 
@@ -112,12 +122,7 @@
 #[test]
 fn a_connection_that_the_system_has_accepted_at_the_closing_is_answered() {
     run(async {
-        let (host, release) = holding().await;
-        let (desk, _) = deployer(vec![]).await;
-        let mut scene = Scene::start(list(1, &[("s-a", &host.address, "Ready", 1)]), &desk, 256).await;
-        let mut held = scene.connect().await;
-        held.write_all(read("held").as_bytes()).await.unwrap();
-        host.heard(1).await;
+        let (mut scene, release, mut held) = with_one_held().await;
         scene.signal("-TERM");
         while scene.status("GET /up HTTP/1.1\r\n\r\n").await == Some(200) {}
         scene.signal("-STOP");
@@ -128,8 +133,7 @@
         let answer = timeout(SOON, read_message(&mut queued)).await.unwrap().expect("an answer and no close");
         assert!(matches!(status(&answer), Some(200 | 503)), "{answer}");
         release.send(true).unwrap();
-        assert_eq!(status(&timeout(SOON, read_message(&mut held)).await.unwrap().unwrap()), Some(200));
-        assert!(timeout(SOON, scene.child.wait()).await.unwrap().unwrap().success());
+        served_and_ended(&mut scene, &mut held).await;
     });
 }
 
@@ -678,17 +682,29 @@
 #[test]
 fn sighup_during_the_shutdown_ends_nothing_early() {
     run(async {
-        let (host, release) = holding().await;
-        let (desk, _) = deployer(vec![]).await;
-        let mut scene = Scene::start(list(1, &[("s-a", &host.address, "Ready", 1)]), &desk, 256).await;
-        let mut held = scene.connect().await;
-        held.write_all(read("held").as_bytes()).await.unwrap();
-        host.heard(1).await;
+        let (mut scene, release, mut held) = with_one_held().await;
         close_idle(&scene).await;
         scene.signal("-HUP");
         scene.signal("-TERM");
         release.send(true).unwrap();
-        assert_eq!(status(&timeout(SOON, read_message(&mut held)).await.unwrap().unwrap()), Some(200));
-        assert!(timeout(SOON, scene.child.wait()).await.unwrap().unwrap().success());
+        served_and_ended(&mut scene, &mut held).await;
+    });
+}
+
+/// An empty line behind a request begins no other: the connection was answered 400 two seconds later, unasked.
+#[test]
+fn an_empty_line_between_requests_is_no_request_that_does_not_go_on() {
+    run(async {
+        let host = Host::start(|_| Deed::Say(ok("good"))).await;
+        let (desk, _) = deployer(vec![]).await;
+        let scene = Scene::start(list(1, &[("s-a", &host.address, "Ready", 1)]), &desk, 256).await;
+        let mut client = scene.connect().await;
+        for id in ["a", "b"] {
+            let answer = exchange(&mut client, &format!("{}\r\n", seal(id))).await.unwrap();
+            assert_eq!(status(&answer), Some(200));
+        }
+        let mut all = Vec::new();
+        let _ = timeout(Duration::from_secs(3), client.read_to_end(&mut all)).await;
+        assert!(all.is_empty(), "{}", String::from_utf8_lossy(&all));
     });
 }
