Arrival has a module of its own in platform and keeper

Cause: the tasks of connections imported Arrival from serve.rs, which starts them: a circle between modules. Change: src/arrival.rs in spokeflow-platform and spokeflow-keeper, as in spokeflow-router; variants documented; no other change of code.

--- /dev/null
+++ b/crates/spokeflow-keeper/src/arrival.rs
@@ -0,0 +1,36 @@
+//! The messages that connection tasks and the disk's thread send to the task that owns the keeper.
+
+use spokeflow_agreed::wire::{Answer, Ask};
+use spokeflow_agreed::SourceNews;
+use spokeflow_quorum::{KeeperId, Message};
+use tokio::sync::{mpsc, oneshot};
+
+/// What reaches the task that owns the keeper.
+pub enum Arrival {
+    /// A caller is admitted; its answers, with the numbers of its requests, go to the sender.
+    Came(u64, mpsc::Sender<(u64, Answer)>),
+    /// The connection of a caller is closed.
+    Left(u64),
+    /// A request of a caller. `keeper`: another keeper passes it on.
+    Asked { conn: u64, number: u64, keeper: bool, ask: Ask },
+    /// A message between keepers.
+    Heard(KeeperId, Message),
+    /// Another keeper has answered the request that was passed on to it under this number.
+    PassedBack(u64, Answer),
+    /// A keeper calls; answered `Err` where its disk is older than one that was met.
+    Met {
+        id: KeeperId,
+        start: u64,
+        processes: Vec<u64>,
+        seats: Vec<(KeeperId, String)>,
+        answer: oneshot::Sender<Result<(), String>>,
+    },
+    /// Another keeper says that this one's disk is old.
+    OldDisk(String),
+    /// All writes up to this number are on the disk, and all starts that were to be kept by then.
+    Synced(u64),
+    /// The disk fails, as the text says.
+    DiskFails(String),
+    /// From the host list.
+    List(SourceNews),
+}
--- a/crates/spokeflow-keeper/src/calls.rs
+++ b/crates/spokeflow-keeper/src/calls.rs
@@ -15,7 +15,7 @@
 
 use spokeflow_platform::Clock;
 
-use crate::serve::Arrival;
+use crate::arrival::Arrival;
 
 /// A caller says who it is, and takes what it is sent, within this time.
 const PATIENCE: Duration = Duration::from_secs(2);
--- a/crates/spokeflow-keeper/src/lib.rs
+++ b/crates/spokeflow-keeper/src/lib.rs
@@ -1,6 +1,7 @@
 //! A keeper: one of the few processes that hold what routers agree on. `docs/agreement.md` is the design note,
 //! `docs/operate/fleet.md` the operators' page.
 
+mod arrival;
 pub mod ask;
 mod calls;
 pub mod check;
--- a/crates/spokeflow-keeper/src/list.rs
+++ b/crates/spokeflow-keeper/src/list.rs
@@ -13,7 +13,7 @@
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
 
-use crate::serve::Arrival;
+use crate::arrival::Arrival;
 
 const PATIENCE: Duration = Duration::from_secs(1);
 /// The whole list is asked for this often: news that was not taken in, for whatever reason, comes again.
--- a/crates/spokeflow-keeper/src/peers.rs
+++ b/crates/spokeflow-keeper/src/peers.rs
@@ -14,7 +14,7 @@
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
 
-use crate::serve::Arrival;
+use crate::arrival::Arrival;
 
 /// A keeper that is not reached, or takes no byte, for this long is tried on a new connection.
 const PATIENCE: Duration = Duration::from_secs(1);
--- a/crates/spokeflow-keeper/src/serve.rs
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -6,15 +6,16 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::RngExt;
-use spokeflow_agreed::wire::{Answer, Ask, Caller, ToKeeper};
-use spokeflow_agreed::{Asker, Keeper, SourceNews, Step};
+use spokeflow_agreed::wire::{Answer, Caller, ToKeeper};
+use spokeflow_agreed::{Asker, Keeper, Step};
 use spokeflow_platform::{Clock, Pauses};
-use spokeflow_quorum::{KeeperId, Message, Saved, Write};
+use spokeflow_quorum::{KeeperId, Saved, Write};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::time::{sleep, sleep_until};
 use tracing::{info, warn};
 
+use crate::arrival::Arrival;
 use crate::calls::Call;
 use crate::list::ListLink;
 use crate::peers::{PeerLink, FIRST_PAUSE, LONGEST_PAUSE};
@@ -28,34 +29,6 @@
 /// Messages that wait for one other keeper at most; more are lost, as any may be.
 const PEER_QUEUE: usize = 256;
 
-pub enum Arrival {
-    Came(u64, mpsc::Sender<(u64, Answer)>),
-    Left(u64),
-    Asked {
-        conn: u64,
-        number: u64,
-        keeper: bool,
-        ask: Ask,
-    },
-    Heard(KeeperId, Message),
-    PassedBack(u64, Answer),
-    /// A keeper calls; answered `Err` where its disk is older than one that was met.
-    Met {
-        id: KeeperId,
-        start: u64,
-        processes: Vec<u64>,
-        seats: Vec<(KeeperId, String)>,
-        answer: oneshot::Sender<Result<(), String>>,
-    },
-    /// Another keeper says that this one's disk is old.
-    OldDisk(String),
-    /// All writes up to this number are on the disk, and all starts that were to be kept by then.
-    Synced(u64),
-    DiskFails(String),
-    /// From the host list.
-    List(SourceNews),
-}
-
 /// What the disk's thread is handed.
 struct ToDisk {
     writes: Vec<Write>,
--- a/crates/spokeflow-platform/src/clients.rs
+++ b/crates/spokeflow-platform/src/clients.rs
@@ -18,8 +18,8 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
+use crate::arrival::Arrival;
 use crate::hosts::{waits, Waits};
-use crate::serve::Arrival;
 use crate::Clock;
 
 /// Bytes of a body at most, as the platform says.
--- a/crates/spokeflow-platform/src/deployer.rs
+++ b/crates/spokeflow-platform/src/deployer.rs
@@ -15,8 +15,8 @@
 use tokio_util::codec::{Decoder, Encoder, Framed, LinesCodec, LinesCodecError};
 use tracing::{debug, info};
 
+use crate::arrival::Arrival;
 use crate::configuration::Stage;
-use crate::serve::Arrival;
 use crate::{Clock, Pauses};
 
 /// A line of so many bytes ends the connection, as the platform says.
--- a/crates/spokeflow-platform/src/discovery.rs
+++ b/crates/spokeflow-platform/src/discovery.rs
@@ -13,8 +13,8 @@
 use tokio_util::codec::Decoder;
 use tracing::info;
 
+use crate::arrival::Arrival;
 use crate::roster::Listing;
-use crate::serve::Arrival;
 use crate::{Clock, Pauses};
 
 /// "An empty line comes every 2 s while nothing changes" (protocol page): silence for longer than two of them is a dead way.
--- a/crates/spokeflow-platform/src/hosts.rs
+++ b/crates/spokeflow-platform/src/hosts.rs
@@ -21,9 +21,9 @@
 use tokio_util::codec::Decoder;
 use tracing::{debug, info};
 
+use crate::arrival::Arrival;
 use crate::clients::BODY_LIMIT;
 use crate::reuse::Reuse;
-use crate::serve::Arrival;
 use crate::Clock;
 
 /// Bytes kept ready for what comes back on a connection.
--- a/crates/spokeflow-platform/src/lib.rs
+++ b/crates/spokeflow-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! One task owns the engine ([`serve`]); tasks of connections only read and write. All that is decided on commands
 //! and deliveries is decided by the module inside the engine.
 
+mod arrival;
 mod clients;
 mod clock;
 mod configuration;
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -9,15 +9,14 @@
 use bytes::Bytes;
 use spokeflow_core::{HostId, Micros, MET_BY};
 use spokeflow_engine::{Engine, EngineTerms, Input, Links};
-use spokeflow_proto::{
-    BallotResult, Command, FrameFault, FromDesk, FromList, News, ToClient, ToDesk, ToHost, ToList,
-};
+use spokeflow_proto::{FrameFault, FromDesk, FromList, ToClient, ToDesk, ToHost, ToList};
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep_until, Instant};
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
+use crate::arrival::Arrival;
 use crate::clients::{listen, Accepting, Desk, House};
 use crate::configuration::Limits;
 use crate::deployer::{Subscription, Vote};
@@ -41,35 +40,6 @@
 /// Descriptors for all but clients and hosts: standard streams, signals, the listener, discovery, the deployer.
 pub const OTHERS: u64 = 24;
 
-/// What reaches the task that owns the engine.
-pub enum Arrival {
-    Command {
-        conn: u64,
-        id: Bytes,
-        command: Command,
-        answer: oneshot::Sender<ToClient>,
-    },
-    ClientGone(u64),
-    Delivered {
-        host: HostId,
-        delivery: u64,
-        input: Input,
-        connection: Option<Connection>,
-        broke: Option<(Option<u64>, bool)>,
-    },
-    Listed(Listing),
-    News(News),
-    Report {
-        unit: String,
-        ago_us: u64,
-    },
-    Voted {
-        ballot: u64,
-        result: Option<BallotResult>,
-        news: Option<News>,
-    },
-}
-
 struct Host {
     address: SocketAddr,
     incarnation: u64,
