Core: a router's own hosts are drawn in the stated order of their hash

Cause: keep_own took the first hosts by a selection, whose order within the part is the library's own and may change with its version; the draw picks by that order.

Change: the part is sorted by the hash.

--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -516,7 +516,8 @@
             return 1.0;
         }
         let rank = |h: &usize| unit(u64::from(self.hosts.line[*h].host.0) << 32 | u64::from(self.own_index));
-        hosts.select_nth_unstable_by(own, |a, b| rank(a).total_cmp(&rank(b)));
+        // In the order of their hash: a selection alone leaves the order to the library's version.
+        hosts.sort_unstable_by(|a, b| rank(a).total_cmp(&rank(b)));
         1.0 + hosts.drain(own..).len() as f64 / own as f64
     }
 
