Lab: exact bytes of messages and ledger records, collected into measured lines

Cause: nothing said what a change, the host list or a lease renewal costs in bytes at the target's sizes. Change: 'spokeflow-lab measure-bytes' encodes them with the real codecs at four sizes each; 'collect-slopes' makes lines of raw runs; target and lines are read strictly.

--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/collect.rs
@@ -0,0 +1,121 @@
+//! Puts the records of all raw runs together into measured lines.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use super::error::CapacityError;
+use super::records::{read_records, Record};
+use super::slopes::{Line, Point, Slopes};
+
+/// What records of one line have in common.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    run: String,
+    role: String,
+    quantity: String,
+    phase: String,
+    per: String,
+    unit: String,
+    /// As text: JSON values have no order.
+    held: String,
+}
+
+/// Reads every raw run of a folder, in the order of their names, and makes the lines of it.
+///
+/// Errors: the folder or a file in it, with the entry that does not fit.
+pub fn collect(runs: &Path) -> Result<Slopes, CapacityError> {
+    let mut lines = Vec::new();
+    for file in run_files(runs)? {
+        let records = read_records(&file)?;
+        let run = file.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        lines.extend(lines_of(&run, records));
+    }
+    number_equal_ids(&mut lines);
+    let slopes = Slopes { lines };
+    slopes.check(runs)?;
+    Ok(slopes)
+}
+
+fn run_files(runs: &Path) -> Result<Vec<PathBuf>, CapacityError> {
+    let fault = |e: std::io::Error| CapacityError::new(runs, "", e);
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(runs).map_err(fault)? {
+        let file = entry.map_err(fault)?.path();
+        if file.extension().is_some_and(|extension| extension == "json") {
+            files.push(file);
+        }
+    }
+    if files.is_empty() {
+        return Err(CapacityError::new(runs, "", "no raw run (*.json) in this folder"));
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn lines_of(run: &str, records: Vec<Record>) -> Vec<Line> {
+    let mut by_line: BTreeMap<Key, Vec<Record>> = BTreeMap::new();
+    for record in records {
+        by_line.entry(key(run, &record)).or_default().push(record);
+    }
+    by_line.into_iter().filter_map(|(key, records)| line(key, records)).collect()
+}
+
+fn key(run: &str, record: &Record) -> Key {
+    Key {
+        run: run.to_string(),
+        role: record.role.to_string(),
+        quantity: record.quantity.clone(),
+        phase: record.phase.clone(),
+        per: record.size_of.clone(),
+        unit: record.unit.clone(),
+        held: serde_json::to_string(&record.held).unwrap_or_default(),
+    }
+}
+
+fn line(key: Key, records: Vec<Record>) -> Option<Line> {
+    let first = records.first()?;
+    let run = key.run.strip_suffix(".json").unwrap_or(&key.run);
+    Some(Line {
+        id: format!("{run}: {}, {}, {}, by {}", key.role, key.quantity, key.phase, key.per),
+        role: first.role,
+        quantity: key.quantity,
+        unit: key.unit,
+        per: key.per,
+        phase: key.phase,
+        held: first.held.clone(),
+        command: first.command.clone(),
+        date: first.date.clone(),
+        run: key.run,
+        points: points(&records),
+    })
+}
+
+/// One point for each size: the median of its records, and the spread of all.
+fn points(records: &[Record]) -> Vec<Point> {
+    let mut sizes: Vec<f64> = records.iter().map(|r| r.size).collect();
+    sizes.sort_by(f64::total_cmp);
+    sizes.dedup();
+    sizes.into_iter().map(|size| point(size, records.iter().filter(|r| r.size == size).collect())).collect()
+}
+
+fn point(size: f64, records: Vec<&Record>) -> Point {
+    let mut values: Vec<f64> = records.iter().map(|r| r.value).collect();
+    values.sort_by(f64::total_cmp);
+    let value = values[(values.len() - 1) / 2];
+    let repeated = values.len() > 1;
+    let lows = records.iter().filter_map(|r| r.min.or(repeated.then_some(r.value)));
+    let highs = records.iter().filter_map(|r| r.max.or(repeated.then_some(r.value)));
+    Point { size, value, min: lows.reduce(f64::min), max: highs.reduce(f64::max) }
+}
+
+/// Lines that differ only in what was held, or in their unit, get a number behind their id.
+fn number_equal_ids(lines: &mut [Line]) {
+    let mut seen: BTreeMap<String, usize> = BTreeMap::new();
+    for line in lines {
+        let count = seen.entry(line.id.clone()).or_default();
+        *count += 1;
+        if *count > 1 {
+            line.id = format!("{} ({count})", line.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/encoded.rs
@@ -0,0 +1,223 @@
+//! Measures, by the real codecs and the real ledger, how many bytes each message and each kept record takes.
+
+use std::collections::BTreeMap;
+
+use bytes::BytesMut;
+use serde::Serialize;
+use serde_json::json;
+use spokeflow_agreed::wire::{Answer, Ask, FromKeeper, ToKeeper};
+use spokeflow_agreed::{
+    Act, Asked, Granter, HostState, LeaseTerms, Ledger, ListNo, ListedHost, Offer, RevisionNo, Seats,
+    SourceNews, Values,
+};
+use spokeflow_proto::{FrameCodec, FromList, Line, LinePhase};
+use spokeflow_quorum::{Body, Entry, Message, Place, Term};
+
+use super::records::{Held, Record, Role};
+
+pub const PHASE: &str = "encoded";
+pub const COMMAND: &str = "spokeflow-lab measure-bytes --out docs/capacity/runs/bytes.json";
+
+pub const LIST_GRANT: &str = "grant with the whole host list";
+pub const HOST_GRANT: &str = "grant with a change of one host";
+pub const LIST_MESSAGE: &str = "message with the whole host list";
+pub const HOST_MESSAGE: &str = "message with a change of one host";
+pub const HOST_ENTRY: &str = "log entry with a change of one host";
+pub const LIST_STATE: &str = "host list in the ledger";
+pub const TENANT_OFFER: &str = "offer that changes one tenant's share";
+pub const TENANT_GRANT: &str = "grant with a change of one tenant's share";
+pub const TENANT_ENTRY: &str = "log entry with a change of one tenant's share";
+pub const TENANT_RECORD: &str = "ledger's growth by a change of one tenant's share";
+pub const RENEWAL_REQUEST: &str = "lease renewal, request";
+pub const RENEWAL_ANSWER: &str = "lease renewal, answer";
+
+const HOSTS: [u32; 4] = [300, 1000, 4000, 12_000];
+const TENANTS: [u32; 4] = [100, 1000, 10_000, 33_000];
+const ROUTERS: [u32; 4] = [30, 100, 300, 1300];
+const ZONES: u32 = 15;
+/// Bytes of a frame's length, before its message.
+const FRAME_HEAD: usize = 4;
+const LEASE: LeaseTerms = LeaseTerms { lease: 3_000_000, drift: 0.01 };
+/// A process number, request number and token of usual length.
+const PROCESS: u64 = 0x9d3c_5a71_e20b_4f86;
+const REQUEST: u64 = 100_000;
+/// Mark of the voters' addresses, as their checksum gives it.
+const SEATS_MARK: u64 = 0x9abc_def1;
+
+/// All records, in a fixed order; equal but for the date whenever the codecs are.
+pub fn measure(date: &str) -> Vec<Record> {
+    let mut records = Vec::new();
+    for hosts in HOSTS {
+        records.extend(host_records(hosts));
+    }
+    for tenants in TENANTS {
+        records.extend(tenant_records(tenants));
+    }
+    for routers in ROUTERS {
+        records.extend(renewal_records(routers));
+    }
+    records.iter_mut().for_each(|record| record.date = date.to_string());
+    records
+}
+
+fn record(role: Role, quantity: &str, size_of: &str, size: u32, bytes: usize, held: Held) -> Record {
+    Record {
+        role,
+        quantity: quantity.to_string(),
+        unit: "bytes".into(),
+        phase: PHASE.into(),
+        size_of: size_of.into(),
+        size: f64::from(size),
+        value: bytes as f64,
+        min: None,
+        max: None,
+        held,
+        command: COMMAND.into(),
+        date: String::new(),
+    }
+}
+
+fn host_records(hosts: u32) -> Vec<Record> {
+    let held = || Held::from([("tenants".to_string(), json!(0)), ("routers".to_string(), json!(1300))]);
+    let whole = SourceNews { version: 1, whole: true, hosts: (0..hosts).map(listed_host).collect() };
+    let drained = ListedHost { state: HostState::Draining, ..listed_host(hosts / 2) };
+    let change = SourceNews { version: 2, whole: false, hosts: vec![drained] };
+    let mut ledger = Ledger::default();
+    let empty = ledger.state().len();
+    ledger.apply(Act::List(whole.clone()));
+    let state = ledger.state().len() - empty;
+    let whole_grant = grant_frame(&ledger, Some(ListNo(0)));
+    let before = ledger.list.version;
+    ledger.apply(Act::List(change.clone()));
+    let change_grant = grant_frame(&ledger, Some(before));
+    let entry = append_frame(&Act::List(change.clone()));
+    let whole_message = list_frame(whole);
+    let change_message = list_frame(change);
+    let of = |role, quantity, bytes| record(role, quantity, "hosts", hosts, bytes, held());
+    vec![
+        of(Role::Voter, LIST_GRANT, whole_grant),
+        of(Role::Voter, HOST_GRANT, change_grant),
+        of(Role::Voter, HOST_ENTRY, entry),
+        of(Role::Voter, LIST_STATE, state),
+        of(Role::ListSource, LIST_MESSAGE, whole_message),
+        of(Role::ListSource, HOST_MESSAGE, change_message),
+    ]
+}
+
+fn tenant_records(tenants: u32) -> Vec<Record> {
+    let held = || Held::from([("hosts".to_string(), json!(0)), ("routers".to_string(), json!(1300))]);
+    let (before, after) = (tenant_offer(tenants, 0, 0), tenant_offer(tenants, 1, 1));
+    let mut ledger = Ledger::default();
+    take(&mut ledger, before, 1);
+    let state_before = ledger.state().len();
+    let offer = frame(&ToKeeper::Ask { number: REQUEST, ask: Ask::Offer(after.clone()) });
+    let entry = append_frame(&Act::Offer(after.clone()));
+    ledger.apply(Act::Offer(after));
+    let grant = grant_frame(&ledger, None);
+    ledger.apply(Act::InForce { revision: RevisionNo(2), at_s: 1_800_000_000 });
+    let growth = ledger.state().len() - state_before;
+    let of = |role, quantity, bytes| record(role, quantity, "tenants", tenants, bytes, held());
+    vec![
+        of(Role::Tool, TENANT_OFFER, offer),
+        of(Role::Voter, TENANT_GRANT, grant),
+        of(Role::Voter, TENANT_ENTRY, entry),
+        of(Role::Voter, TENANT_RECORD, growth),
+    ]
+}
+
+fn renewal_records(routers: u32) -> Vec<Record> {
+    let held = || Held::from([("hosts".to_string(), json!(0)), ("tenants".to_string(), json!(0))]);
+    let ledger = Ledger::default();
+    let mut granter = Granter::new(LEASE, 0);
+    let mut last = (0, 0);
+    for router in 0..routers {
+        let own = asked(&ledger, Some(ledger.list.version));
+        let asked = Asked { router, process: PROCESS - u64::from(router), ..own };
+        let grant = granter.ask(1, &asked, &ledger, &seats());
+        let request = frame(&ToKeeper::Ask { number: REQUEST, ask: Ask::Lease(asked) });
+        let answer = Answer::Granted(Box::new(grant));
+        last = (request, frame(&FromKeeper::Answer { number: REQUEST, answer }));
+    }
+    let of = |role, quantity, bytes| record(role, quantity, "routers", routers, bytes, held());
+    vec![of(Role::RouterControl, RENEWAL_REQUEST, last.0), of(Role::Voter, RENEWAL_ANSWER, last.1)]
+}
+
+/// Announces an offer and puts it in force.
+fn take(ledger: &mut Ledger, offer: Offer, number: u64) {
+    ledger.apply(Act::Offer(offer));
+    ledger.apply(Act::InForce { revision: RevisionNo(number), at_s: 1_800_000_000 });
+}
+
+fn listed_host(host: u32) -> ListedHost {
+    ListedHost {
+        host,
+        address: address(host),
+        build: Some(7),
+        cell: (host % 100) as u16,
+        zone: (host % ZONES) as u16,
+        state: HostState::Ready,
+        incarnation: 3,
+        up_us: Some(3_600_000_000),
+    }
+}
+
+fn address(host: u32) -> String {
+    format!("10.{}.{}.{}:8443", 16 + host / 60_000, host / 240 % 250, 10 + host % 240)
+}
+
+/// An offer that names all tenants' shares, as the flag does; `changed` differs between two of them.
+fn tenant_offer(tenants: u32, against: u64, changed: u32) -> Offer {
+    let share = |tenant: u32| if tenant == 0 { 12 + changed } else { 11 };
+    let shares: Vec<String> = (0..tenants).map(|t| format!("tenant-{t:05}={}.82", share(t))).collect();
+    let values: Values = BTreeMap::from([("customer".to_string(), shares.join(","))]);
+    let token = PROCESS - u64::from(changed);
+    let (who, why) = ("operator@example.org".to_string(), "larger share for one tenant".to_string());
+    Offer { token, against: RevisionNo(against), who, why, at_s: 1_800_000_000, values }
+}
+
+/// What a router asks with that has what is in force, and the list up to `list`.
+fn asked(ledger: &Ledger, list: Option<ListNo>) -> Asked {
+    let known = ledger.in_force.number;
+    Asked { process: PROCESS, router: 1299, knows: [known, known], acts_on: known, seats: SEATS_MARK, list }
+}
+
+fn seats() -> Seats {
+    Seats { mark: SEATS_MARK, addresses: Vec::new() }
+}
+
+fn grant_frame(ledger: &Ledger, list: Option<ListNo>) -> usize {
+    let grant = Granter::new(LEASE, 0).ask(1, &asked(ledger, list), ledger, &seats());
+    frame(&FromKeeper::Answer { number: REQUEST, answer: Answer::Granted(Box::new(grant)) })
+}
+
+fn append_frame(act: &Act) -> usize {
+    let (term, before) = (Term(12), Place(REQUEST));
+    let entries = vec![Entry { term, body: Body::Act(act.bytes()) }];
+    let append =
+        Message::Append { term, before, before_term: term, entries, committed: before, round: REQUEST };
+    frame(&ToKeeper::Quorum(append))
+}
+
+fn list_frame(news: SourceNews) -> usize {
+    let line = |h: ListedHost| Line {
+        host: h.host,
+        address: h.address,
+        build: h.build,
+        cell: h.cell,
+        zone: h.zone,
+        phase: if h.state == HostState::Draining { LinePhase::Draining } else { LinePhase::Ready },
+        incarnation: h.incarnation,
+        up_us: h.up_us,
+    };
+    let (version, lines) = (news.version, news.hosts.into_iter().map(line).collect());
+    frame(&if news.whole { FromList::Whole { version, lines } } else { FromList::Changes { version, lines } })
+}
+
+/// Bytes of a message on the wire, its length before it included.
+fn frame<M: Serialize>(message: &M) -> usize {
+    let mut buffer = BytesMut::new();
+    // A limit that nothing here reaches: what is over a program's own limit is to be measured as well.
+    let codec = FrameCodec::<(), &M>::new(u32::MAX as usize - FRAME_HEAD);
+    codec.write(&message, &mut buffer).expect("plain types always serialize");
+    buffer.len()
+}
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/mod.rs
@@ -0,0 +1,19 @@
+//! What a target costs in each role: measured lines, the loads that a target makes, and the page that puts both
+//! together (`docs/CAPACITY.md`).
+
+mod collect;
+mod commands;
+mod encoded;
+mod error;
+mod fit;
+mod records;
+mod slopes;
+mod target;
+
+pub use collect::collect;
+pub use commands::{capacity, collect_slopes, measure_bytes, CapacityFlags, CollectFlags, MeasureFlags};
+pub use error::CapacityError;
+pub use fit::{Fit, Form};
+pub use records::{read_records, Record, Role};
+pub use slopes::{Line, Point, Reading, Slopes};
+pub use target::Target;
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/slopes.rs
@@ -0,0 +1,166 @@
+//! Measured lines: points of one quantity over one size, and what they say at another size.
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::error::{read_text, CapacityError};
+use super::fit::Fit;
+use super::records::{parse_json, Held, Role};
+
+/// Sizes that a line is measured at, at least.
+pub const ENOUGH_POINTS: usize = 4;
+/// A line that is used beyond so many times its largest measured size says so.
+pub const FAR: f64 = 4.0;
+/// Largest size and value that are believed.
+const SANE: f64 = 1e15;
+
+/// A value at a size, with its spread where the run was repeated.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Point {
+    pub size: f64,
+    pub value: f64,
+    pub min: Option<f64>,
+    pub max: Option<f64>,
+}
+
+/// One quantity of one role over one size.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Line {
+    pub id: String,
+    pub role: Role,
+    pub quantity: String,
+    pub unit: String,
+    /// The size that it grows with.
+    pub per: String,
+    pub phase: String,
+    pub held: Held,
+    /// By rising size, each size once.
+    pub points: Vec<Point>,
+    pub command: String,
+    /// Raw file of the run.
+    pub run: String,
+    pub date: String,
+}
+
+/// What a line says at a size.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reading {
+    pub value: f64,
+    /// Beyond [`FAR`] times the largest measured size.
+    pub far: bool,
+    /// Rests on fewer than [`ENOUGH_POINTS`] sizes.
+    pub few: bool,
+}
+
+impl Line {
+    fn pairs(&self) -> Vec<(f64, f64)> {
+        self.points.iter().map(|p| (p.size, p.value)).collect()
+    }
+
+    /// `None`: fewer than two sizes.
+    pub fn fit(&self) -> Option<Fit> {
+        Fit::of(&self.pairs())
+    }
+
+    pub fn smallest(&self) -> f64 {
+        self.points.first().map_or(0.0, |p| p.size)
+    }
+
+    pub fn largest(&self) -> f64 {
+        self.points.last().map_or(0.0, |p| p.size)
+    }
+
+    /// The measured value where the size was measured, else the fit's; `None` where a single size was measured and
+    /// another is asked for.
+    pub fn at(&self, size: f64) -> Option<Reading> {
+        let few = self.points.len() < ENOUGH_POINTS;
+        if let Some(point) = self.points.iter().find(|p| p.size == size) {
+            return Some(Reading { value: point.value, far: false, few });
+        }
+        let value = self.fit()?.form.at(size).max(0.0);
+        Some(Reading { value, far: size > FAR * self.largest(), few })
+    }
+
+    /// How many sizes it rests on, where they are too few.
+    pub fn caution(&self) -> Option<&'static str> {
+        match self.points.len() {
+            1 => Some("one point only"),
+            2 => Some("two points only"),
+            3 => Some("three points only"),
+            _ => None,
+        }
+    }
+}
+
+/// All measured lines.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Slopes {
+    pub lines: Vec<Line>,
+}
+
+impl Slopes {
+    /// Reads and checks measured lines.
+    ///
+    /// Errors: the first entry that is missing, unknown, of a wrong type or out of its limits.
+    pub fn read(file: &Path) -> Result<Slopes, CapacityError> {
+        let slopes: Slopes = parse_json(file, &read_text(file)?)?;
+        slopes.check(file)?;
+        Ok(slopes)
+    }
+
+    /// Checks lines as they are read from this file.
+    ///
+    /// Errors: the first entry that is out of its limits.
+    pub fn check(&self, file: &Path) -> Result<(), CapacityError> {
+        for (n, line) in self.lines.iter().enumerate() {
+            check_line(file, n, line)?;
+            if self.lines[..n].iter().any(|other| other.id == line.id) {
+                let wanted = format!("'{}' is given twice, each id once wanted", line.id);
+                return Err(CapacityError::new(file, format!("lines[{n}].id"), wanted));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_line(file: &Path, n: usize, line: &Line) -> Result<(), CapacityError> {
+    let fault = |entry: String, wanted: &str| {
+        Err(CapacityError::new(file, format!("lines[{n}].{entry}"), format!("{wanted} wanted")))
+    };
+    let texts = [
+        ("id", &line.id),
+        ("quantity", &line.quantity),
+        ("unit", &line.unit),
+        ("per", &line.per),
+        ("command", &line.command),
+        ("run", &line.run),
+        ("date", &line.date),
+    ];
+    if let Some((entry, _)) = texts.iter().find(|(_, text)| text.trim().is_empty()) {
+        return fault(entry.to_string(), "a text");
+    }
+    if line.points.is_empty() {
+        return fault("points".into(), "at least one point");
+    }
+    for (k, point) in line.points.iter().enumerate() {
+        if !(point.size > 0.0 && point.size <= SANE) {
+            return fault(format!("points[{k}].size"), "a number above 0 and at most 1e15");
+        }
+        if !(0.0..=SANE).contains(&point.value) {
+            return fault(format!("points[{k}].value"), "a number from 0 to 1e15");
+        }
+        let spread_holds = point.min.is_none_or(|min| (0.0..=point.value).contains(&min))
+            && point.max.is_none_or(|max| (point.value..=SANE).contains(&max));
+        if !spread_holds {
+            return fault(format!("points[{k}].min"), "min from 0 to value, and max from value to 1e15");
+        }
+        if k > 0 && point.size <= line.points[k - 1].size {
+            return fault(format!("points[{k}].size"), "sizes that rise from point to point");
+        }
+    }
+    Ok(())
+}
--- a/crates/spokeflow-lab/src/lib.rs
+++ b/crates/spokeflow-lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agree;
 pub mod agreement;
 pub mod alone;
+pub mod capacity;
 pub mod charts;
 pub mod compare;
 pub mod hunt;
--- a/crates/spokeflow-lab/src/main.rs
+++ b/crates/spokeflow-lab/src/main.rs
@@ -4,6 +4,7 @@
 use clap::{Args, Parser, Subcommand};
 use spokeflow_emulator::{play, Who};
 use spokeflow_keeper::KeeperProgram;
+use spokeflow_lab::capacity;
 use spokeflow_lab::plan::{MatrixFlags, Seeds, Terms, Which};
 use spokeflow_lab::store::{Store, Stored};
 use spokeflow_lab::{agree, agreement, alone, charts, compare, hunt, sweep, tables};
@@ -43,6 +44,12 @@
     Report(ReportFlags),
     /// What routers that each judge alone could know of a build at best, and one that hears all of them
     Alone(alone::AloneFlags),
+    /// Prints what a target costs in each role, computed from measured lines, as a page in Markdown
+    Capacity(capacity::CapacityFlags),
+    /// Makes the measured lines that `capacity` reads from the raw runs of a folder
+    CollectSlopes(capacity::CollectFlags),
+    /// Measures by the real codecs how many bytes messages and kept records take, and writes a raw run
+    MeasureBytes(capacity::MeasureFlags),
     /// Puts an open loop of commands on a real router, beside a plain pass-through in turn
     Load(LoadFlags),
     #[command(hide = true)]
@@ -209,6 +216,22 @@
             Ok(true)
         }
         What::Agreement(flags) => Ok(agreement::agreement(&flags)),
+        What::Capacity(flags) => capacity::capacity(&flags).map_err(|e| e.to_string()).map(|page| {
+            print!("{page}");
+            true
+        }),
+        What::CollectSlopes(flags) => {
+            capacity::collect_slopes(&flags).map_err(|e| e.to_string()).map(|lines| {
+                eprintln!("{lines} lines");
+                true
+            })
+        }
+        What::MeasureBytes(flags) => {
+            capacity::measure_bytes(&flags).map_err(|e| e.to_string()).map(|records| {
+                eprintln!("{records} records");
+                true
+            })
+        }
         What::Load(flags) => load(&flags).map(|()| true),
         What::Pass { host } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
