Core: figures about hosts kept as they change, in place of walks for each command

Change: state/hosts.rs keeps ready hosts of each build by index and by hash, the builds that any host runs, warm hosts and their sizes, hosts that started of late, with trouble, silent or blamed; state/pool.rs takes the draw from the order less those taken out, checking only hosts that something speaks against; state/window.rs counts exposure. router.rs decides as before, from the same draws: all sixteen digests of tests/choices.rs are unchanged. Sums over cold hosts add up in another order and may differ in their last bits.

--- a/crates/spokeflow-core/benches/traffic/mod.rs
+++ b/crates/spokeflow-core/benches/traffic/mod.rs
@@ -211,8 +211,8 @@
 }
 
 pub fn host_line(phase: Phase, host: u32, now: Micros) -> HostLine {
-    let later = phase == Phase::Trial && host % 4 == 0;
-    let tenth = host % 10 == 0;
+    let later = phase == Phase::Trial && host.is_multiple_of(4);
+    let tenth = host.is_multiple_of(10);
     HostLine {
         host: HostId(host),
         build: Some(if later { LATER } else { EARLIER }),
--- a/crates/spokeflow-core/src/lib.rs
+++ b/crates/spokeflow-core/src/lib.rs
@@ -6,7 +6,8 @@
 mod egress;
 mod ids;
 mod router;
-mod state;
+#[doc(hidden)]
+pub mod state;
 mod terms;
 
 pub use chance::{unit, Chance};
--- a/crates/spokeflow-core/src/router.rs
+++ b/crates/spokeflow-core/src/router.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::state::{Command, Delivery, Figures, Hosts, OpRules, Pin};
+use crate::state::{Command, Delivery, Figures, Hosts, OpRules, Pin, Pool, StartSpans, Window};
 use crate::*;
 type Out<'a> = &'a mut dyn Egress;
 const SECOND: Micros = 1_000_000;
@@ -45,6 +45,8 @@
 pub const MET_BY: f64 = 60.0;
 /// Answers that convict at the least, of which a router of mean traffic gets so many before all follow.
 const CONVICTS: f64 = SEND_BACK_AT / (LATE_WEIGHT * (2.0 - LATE_MARGIN));
+/// How long nothing comes back from a host before it may count as mute.
+const MUTE_FOR: Micros = 600 * MS;
 /// Part of what the told multiple allows a cold host that is sent to it.
 const COLD_PART: f64 = 0.9;
 /// Share of the commands that may be delivered again at a guess, and the most saved up.
@@ -77,8 +79,8 @@
     pins: BTreeMap<Key, Pin>,
     /// The released build that has answered keys whose pins are no longer kept.
     all_bound: Option<BuildId>,
-    taken: VecDeque<(Micros, usize)>,
-    exposed: VecDeque<(Micros, usize, BuildId)>,
+    taken: Window<usize>,
+    exposed: Window<(usize, BuildId)>,
     news: Option<StageNews>,
     stage_began: Micros,
     own_turn: Micros,
@@ -143,6 +145,7 @@
             spare: SPARE_AT_MOST / 2.0,
             ask_list_at: terms.list_must_be_asked.then_some(now + 5 * SECOND),
             own_index: terms.own_index,
+            hosts: Hosts::new(terms.own_index, figures(terms).starts, now),
             fig: figures(terms),
             ..Router::default()
         }
@@ -152,14 +155,22 @@
     /// anew. The op types, windows and one-way rules have to be the same as before, and as many customers.
     pub fn go_by(&mut self, terms: &ServiceTerms) {
         self.fig = figures(terms);
+        self.hosts.set_spans(self.fig.starts);
     }
 
     /// Sets the time for the calls that follow.
     pub fn at(&mut self, now: Micros) -> &mut Self {
         self.now = now;
+        self.hosts.advance(now);
         self
     }
 
+    /// The figures about hosts, for tests that compare them with plain definitions.
+    #[doc(hidden)]
+    pub fn hosts(&self) -> &Hosts {
+        &self.hosts
+    }
+
     // ---- The list ----
 
     pub fn listed(&mut self, kind: ListKind, lines: &[HostLine], out: Out) {
@@ -167,10 +178,7 @@
             (self.ask_list_at, self.ask_pause) = (None, 0);
         }
         if kind != ListKind::Changes {
-            let named: BTreeSet<HostId> = lines.iter().map(|line| line.host).collect();
-            for line in self.hosts.line.iter_mut().filter(|line| !named.contains(&line.host)) {
-                line.phase = HostPhase::Gone;
-            }
+            self.hosts.keep_listed(lines);
         }
         for line in lines {
             let h = *self.index.entry(line.host).or_insert_with(|| self.hosts.add(line));
@@ -186,14 +194,6 @@
         self.ask_list_at = Some(self.now + (pause + self.chance.below(pause / 2)) as Micros);
     }
 
-    fn ready(&self) -> impl Iterator<Item = usize> + '_ {
-        (0..self.hosts.line.len()).filter(|&h| self.hosts.line[h].phase == HostPhase::Ready)
-    }
-
-    fn ready_with(&self, build: BuildId) -> impl Iterator<Item = usize> + '_ {
-        self.ready().filter(move |&h| self.hosts.build[h] == build)
-    }
-
     // ---- The desk's news ----
 
     pub fn told(&mut self, news: StageNews, out: Out) {
@@ -201,7 +201,8 @@
         let same_build = before.is_some_and(|b| b.build == news.build);
         if !same_build {
             self.seen = 0;
-            [&mut self.sums, &mut self.hosts.blame].into_iter().for_each(|proof| proof.fill(0.0));
+            self.sums.fill(0.0);
+            self.hosts.clear_blame();
         }
         if !same_build || before.is_some_and(|b| b.stage != news.stage || b.standing != news.standing) {
             self.stage_began = self.now - news.age;
@@ -231,7 +232,7 @@
 
     fn on_trial(&self, build: BuildId) -> bool {
         match &self.news {
-            None => self.hosts.build.iter().any(|b| *b < build),
+            None => self.hosts.oldest_build().is_some_and(|b| b < build),
             Some(n) => build > n.build || (build == n.build && n.standing != Standing::Released),
         }
     }
@@ -258,7 +259,7 @@
             return out.nack(cmd, None);
         }
         self.flow[0] += 1.0;
-        self.taken.push_back((self.now, op * usize::from(self.fig.by_op)));
+        self.taken.push(self.now, op * usize::from(self.fig.by_op));
         self.spare = (self.spare + SPARE_PER_COMMAND).min(SPARE_AT_MOST);
         let place = unit(if key.0 == 0 { u64::from(cmd.0) | 1 << 40 } else { key.0 });
         let (taken, until, deliveries) = (self.now, self.now + left, Vec::new());
@@ -370,7 +371,7 @@
         }
         // A few keys may carry much of the traffic: the lane's come no faster than its machines bear, and no
         // more follow than the earlier build's machines have become fewer.
-        let exposed = self.exposed.iter().filter(|e| e.2 == new).count() as f64;
+        let exposed = self.exposed.count(|(_, build)| build == new) as f64;
         let bears = self.trial_share(new, old) * self.taken.len().max(1) as f64;
         let pin = self.pins.get(&c.key).filter(|p| c.key.0 != 0 && self.now - p.used < PIN_IDLE);
         let ahead = if pin.is_none() && self.fig.rolling { AHEAD } else { 1.0 };
@@ -380,23 +381,22 @@
 
     /// The newest build that is free for all, and the newest on trial, each with a ready host.
     fn candidates(&self) -> (Option<BuildId>, Option<BuildId>) {
-        let builds = || self.ready().map(|h| self.hosts.build[h]);
-        (builds().filter(|b| !self.on_trial(*b)).max(), builds().filter(|b| self.on_trial(*b)).max())
+        let builds = || self.hosts.ready_builds().map(|(build, _)| build).rev();
+        (builds().find(|b| !self.on_trial(*b)), builds().find(|b| self.on_trial(*b)))
     }
 
     /// What part of the present capacity runs the build on trial, cold hosts counted by what they can do.
     fn trial_share(&self, new: BuildId, old: BuildId) -> f64 {
         // Side by side, each trial host bears what each earlier one did before the trial.
-        let bears = |h: &usize| self.hosts.build[*h] == old || self.fig.rolling && self.hosts.build[*h] > old;
-        let able = |h: usize| self.warmth(h) * self.hosts.line[h].size;
-        let all: f64 = self.ready().filter(bears).map(able).sum();
-        (self.ready_with(new).map(able).sum::<f64>() / all.max(1e-9)).min(1.0)
+        let warmth = |age| self.warmth(age);
+        let all = self.hosts.sum_sizes(warmth, |build| build == old || self.fig.rolling && build > old);
+        (self.hosts.sum_sizes(warmth, |build| build == new) / all.max(1e-9)).min(1.0)
     }
 
-    /// The least part of its capacity that a host can have by now.
-    fn warmth(&self, h: usize) -> f64 {
-        let age = self.age(h).min(self.fig.warm_within) as f64 / self.fig.warm_within as f64;
-        self.fig.cold_from + (1.0 - self.fig.cold_from) * age
+    /// The least part of its capacity that a host of an age can have.
+    fn warmth(&self, age: Micros) -> f64 {
+        let part = age.min(self.fig.warm_within) as f64 / self.fig.warm_within as f64;
+        self.fig.cold_from + (1.0 - self.fig.cold_from) * part
     }
 
     /// The lane grows towards its part of the cap, as far as the trial machines listed ready bear it, and
@@ -425,15 +425,15 @@
         }
         self.forget_window();
         let slot = op * usize::from(self.fig.by_op);
-        let taken = self.taken.iter().filter(|t| t.1 == slot).count() as f64;
-        let sent = self.exposed.iter().filter(|t| t.1 == slot && t.2 == build).count() as f64;
+        let taken = self.taken.count(|s| s == slot) as f64;
+        let sent = self.exposed.count(|kind| kind == (slot, build)) as f64;
         sent + 1.0 <= self.fig.free + cap * taken
     }
 
     fn forget_window(&mut self) {
         let from = self.now - self.fig.span;
-        self.taken.drain(..self.taken.partition_point(|t| t.0 <= from));
-        self.exposed.drain(..self.exposed.partition_point(|t| t.0 < from));
+        self.taken.forget_before(from + 1);
+        self.exposed.forget_before(from);
     }
 
     // ---- Placement ----
@@ -445,52 +445,57 @@
             return None;
         }
         let rules = &self.ops[c.op];
-        let bound = c.deliveries.iter().find(|d| d.may_have_run).map(|d| d.host);
-        let drops_repeats = |h: usize| match (bound, rules.repeat, rules.scope) {
-            (None, _, _) | (_, Repeat::Redeliverable, _) | (_, _, RepeatScope::All) => true,
-            (Some(b), _, RepeatScope::Zone) => self.hosts.line[b].zone == self.hosts.line[h].zone,
-            (Some(b), _, RepeatScope::Cell) => self.hosts.line[b].cell == self.hosts.line[h].cell,
-            (Some(b), _, RepeatScope::Unknown) => b == h,
+        let repeats_anywhere = rules.repeat == Repeat::Redeliverable || rules.scope == RepeatScope::All;
+        let ran_at = c.deliveries.iter().find(|d| d.may_have_run).map(|d| self.hosts.line(d.host));
+        let bound = ran_at.filter(|_| !repeats_anywhere);
+        let drops_repeats = |line: &HostLine| match (bound, rules.scope) {
+            (None, _) | (_, RepeatScope::All) => true,
+            (Some(b), RepeatScope::Zone) => b.zone == line.zone,
+            (Some(b), RepeatScope::Cell) => b.cell == line.cell,
+            (Some(b), RepeatScope::Unknown) => b.host == line.host,
         };
-        let at_hand = |h: &usize| self.detour(0, self.hosts.line[*h].zone.0.into()) == 0.0;
-        let mut near: Vec<usize> = self.ready_with(build).filter(at_hand).collect();
-        let of_own = self.keep_own(&mut near);
-        let usable = |h: usize, of_own| {
-            drops_repeats(h) && self.may_take(h, of_own) && c.deliveries.iter().all(|d| d.host != h)
+        let tried = |h: usize| c.deliveries.iter().any(|d| d.host == h);
+        let check_all = bound.is_some() || self.refused > MOST_REFUSED;
+        let usable = |mut pool: Pool, of_own| {
+            let named = c.deliveries.iter().map(|d| d.host);
+            self.hosts.doubt(&mut pool, check_all, self.now - MUTE_FOR, named);
+            pool.retain(|h| drops_repeats(self.hosts.line(h)) && self.may_take(h, of_own) && !tried(h));
+            pool
         };
-        let mut untried: Vec<usize> = near.into_iter().filter(|&h| usable(h, of_own)).collect();
+        let (near, of_own) = self.near(build);
+        let mut untried = usable(near, of_own);
         if untried.is_empty() {
-            untried = self.ready_with(build).filter(|&h| usable(h, 0.2)).collect();
+            untried = usable(self.hosts.pool(build), 0.2);
         }
-        let fit = |h: &usize| self.now >= self.hosts.shut_until[*h] && !self.mute(*h);
-        let mut pool: Vec<usize> = untried.iter().copied().filter(fit).collect();
+        let mut pool = untried.clone();
+        pool.retain(|h| self.now >= self.hosts.shut_until(h) && !self.mute(h));
         if pool.len() * 3 < untried.len() {
             // Most hosts seem unfit at once: that is this router's view or its zone's links, not the hosts.
             pool = untried;
         }
         // Hosts that take no new connection go on serving over the ones that stand.
-        let linked = |h: &usize| self.now.saturating_sub(self.hosts.linked_at[*h]) < LINK_LASTS;
-        if self.refused > MOST_REFUSED && pool.iter().any(linked) {
+        let linked = |h: usize| self.now.saturating_sub(self.hosts.linked_at[h]) < LINK_LASTS;
+        if self.refused > MOST_REFUSED && pool.any(linked) {
             pool.retain(linked);
         }
         // What runs at most once goes where answers come back; others try a host under suspicion.
-        let proven = |h: &usize| self.hosts.strikes[*h] == 0;
-        if (rules.repeat == Repeat::AtMostOnce || self.spare < 1.0) && pool.iter().any(proven) {
+        let proven = |h: usize| self.hosts.strikes(h) == 0;
+        if (rules.repeat == Repeat::AtMostOnce || self.spare < 1.0) && pool.any(proven) {
             pool.retain(proven);
         }
         if pool.is_empty() {
             return None;
         }
-        let (a, b) = (self.draw(&pool), self.draw(&pool));
+        let largest = self.hosts.largest_size(&pool);
+        let (a, b) = (self.draw(&pool, largest), self.draw(&pool, largest));
         Some(if self.press(b) < self.press(a) { b } else { a })
     }
 
     /// One host of a pool, by chance, each as often as its size says.
-    fn draw(&mut self, pool: &[usize]) -> usize {
-        let largest = pool.iter().map(|&h| self.hosts.line[h].size).fold(0.0, f64::max);
+    fn draw(&mut self, pool: &Pool, largest: f64) -> usize {
         loop {
-            let h = pool[self.chance.below(pool.len())];
-            let part = self.hosts.line[h].size / largest;
+            let h = pool.nth(self.chance.below(pool.len()));
+            let part = self.hosts.line(h).size / largest;
             if part >= 1.0 || self.chance.share() < part {
                 return h;
             }
@@ -504,27 +509,27 @@
         let age = self.now.saturating_sub(self.hosts.busy_at[h]) as f64 / SECOND as f64;
         let told = self.hosts.busy[h] - self.busy;
         let busy = self.busy + if told.is_nan() { 0.0 } else { told * (-age / REPORT_FADES).exp() };
-        f64::from(self.hosts.in_flight[h] + 1) * crawl / (1.05 - busy)
+        f64::from(self.hosts.in_flight(h) + 1) * crawl / (1.05 - busy)
     }
 
-    /// Guards against a new connection for nearly every command: a router with little traffic keeps to a few
-    /// hosts, its own by hash. Answers how much more of the traffic those get for that.
-    fn keep_own(&self, hosts: &mut Vec<usize>) -> f64 {
-        let (met, sent) = (MET_BY / self.fig.fleet, 0.75 * self.flow[0] / self.ready().count() as f64);
-        let own = ((hosts.len() as f64 * met.max(sent)).ceil() as usize).max(2);
-        if own >= hosts.len() {
-            return 1.0;
+    /// Guards against a new connection for nearly every command: of a build's hosts that no detour leads to, a
+    /// router with little traffic keeps to a few, its own by hash. Answers how much more traffic those get for that.
+    fn near(&self, build: BuildId) -> (Pool, f64) {
+        let mut near = self.hosts.pool(build);
+        if (0..self.ways[0].len()).any(|zone| self.detour(0, zone) > 0.0) {
+            near.doubt_all();
+            near.retain(|h| self.detour(0, self.hosts.line(h).zone.0.into()) == 0.0);
         }
-        let rank = |h: &usize| unit(u64::from(self.hosts.line[*h].host.0) << 32 | u64::from(self.own_index));
-        // In the order of their hash: a selection alone leaves the order to the library's version.
-        hosts.sort_unstable_by(|a, b| rank(a).total_cmp(&rank(b)));
-        1.0 + hosts.drain(own..).len() as f64 / own as f64
+        let (met, sent) = (MET_BY / self.fig.fleet, 0.75 * self.flow[0] / self.hosts.ready_count() as f64);
+        let own = ((near.len() as f64 * met.max(sent)).ceil() as usize).max(2);
+        let others = near.len().saturating_sub(own);
+        (self.hosts.first_by_rank(near, own), 1.0 + others as f64 / own as f64)
     }
 
     /// Guards against piling up: no more is out than lately came back within a part of the service target. It
     /// could harm where answers return after a gap. An op type that waits everywhere is counted by itself.
     fn crowded(&self, op: usize) -> bool {
-        let base = 2.0 + 2.0 * self.ready().count() as f64 / self.fig.fleet;
+        let base = 2.0 + 2.0 * self.hosts.ready_count() as f64 / self.fig.fleet;
         let wait = self.detour(1, op);
         let alike = |o: &usize| if wait > 0.0 { *o == op } else { self.detour(1, *o) == 0.0 };
         let (mut out, mut returns) = (0, 0.0);
@@ -537,51 +542,45 @@
 
     /// Guards against hosts that take work and answer nothing, long before their first time-out.
     fn mute(&self, h: usize) -> bool {
-        let quiet = self.now.saturating_sub(self.hosts.mute_since[h]);
+        let quiet = self.now.saturating_sub(self.hosts.mute_since(h));
         let usual = || self.ops.iter().map(|o| o.usual.exp()).fold(0.0, f64::max) as Micros;
-        self.hosts.in_flight[h] > 0 && quiet > 600 * MS && quiet > 6 * usual()
+        self.hosts.in_flight(h) > 0 && quiet > MUTE_FOR && quiet > 6 * usual()
     }
 
     /// A fresh host gets no more in flight than its answers have earned, and over each told span a router's
     /// own part of what the fleet may send it, drawn where under one. What is sent counts, for hosts that err
     /// fast. One that has failed gets one command at a time.
     fn may_take(&self, h: usize, of_own: f64) -> bool {
-        let (host, age) = (self.hosts.line[h].host.0, self.age(h));
+        let (host, age) = (self.hosts.line(h).host.0, self.hosts.age(h));
         if age < self.fig.warm_within + SECOND {
             let (slot, begun) = (age / self.fig.fall_span, self.now - age);
             let sent = self.hosts.sent[h] * u32::from(self.hosts.slot[h] == slot);
             // The first span is met by no other before it.
-            let part = self.fig.cold_part * self.warmth(h) * self.pace * of_own / (1 + slot.min(1)) as f64;
+            let part = self.fig.cold_part * self.warmth(age) * self.pace * of_own / (1 + slot.min(1)) as f64;
             let drawn = unit(u64::from(host) << 32 ^ u64::from(self.own_index) << 12 ^ (begun + slot) as u64);
-            if f64::from(sent + 1) > part + drawn || self.hosts.in_flight[h] > 1 + self.hosts.answers[h] {
+            if f64::from(sent + 1) > part + drawn || self.hosts.in_flight(h) > 1 + self.hosts.answers(h) {
                 return false;
             }
         }
-        self.hosts.strikes[h] == 0 || self.hosts.in_flight[h] == 0
-    }
-
-    fn age(&self, h: usize) -> Micros {
-        self.hosts.line[h].started.map_or(Micros::MAX / 2, |at| (self.now - at).max(0))
+        self.hosts.strikes(h) == 0 || self.hosts.in_flight(h) == 0
     }
 
     fn dispatch(&mut self, cmd: CommandId, host: usize, out: Out) {
-        let (build, sent) = (self.hosts.build[host], self.now);
-        let (on_trial, slot) = (self.on_trial(build), self.age(host) / self.fig.fall_span);
+        let (build, sent) = (self.hosts.build(host), self.now);
+        let (on_trial, slot) = (self.on_trial(build), self.hosts.age(host) / self.fig.fall_span);
         let Some(c) = self.cmds.get_mut(&cmd) else { return };
-        self.exposed.extend(on_trial.then_some((sent, c.op * usize::from(self.fig.by_op), build)));
+        self.exposed.extend(on_trial.then_some((sent, (c.op * usize::from(self.fig.by_op), build))));
         c.deliveries.push(Delivery { host, build, sent, open: true, may_have_run: true, started: false });
         let pin = self.pins.entry(c.key).or_default();
         pin.claims *= u32::from(pin.claimed_by >= Some(build));
         pin.claimed_by = pin.claimed_by.max(Some(build));
         pin.claims += u32::from(pin.claimed_by == Some(build));
-        let since = &mut self.hosts.mute_since[host];
-        *since = if self.hosts.in_flight[host] == 0 { sent } else { *since };
-        self.hosts.in_flight[host] += 1;
+        self.hosts.add_in_flight(host);
         self.ops[c.op].out += 1;
         let same = u32::from(std::mem::replace(&mut self.hosts.slot[host], slot) == slot);
         self.hosts.sent[host] = same * self.hosts.sent[host] + 1;
         self.served[c.share] += 1.0;
-        out.deliver(cmd, self.hosts.line[host].host, None);
+        out.deliver(cmd, self.hosts.line(host).host, None);
     }
 
     /// A second delivery for a command whose first is at a host that looks sick, where the op type allows a
@@ -614,7 +613,7 @@
         let Some(d) = c.deliveries.get_mut(usize::from(nth)).filter(|d| d.open) else { return };
         (d.open, d.may_have_run) = (false, end.may_have_run());
         let (h, build, op, key, share) = (d.host, d.build, c.op, c.key, c.share);
-        self.hosts.in_flight[h] = self.hosts.in_flight[h].saturating_sub(1);
+        self.hosts.remove_in_flight(h);
         self.ops[op].out -= 1;
         // What errs at once is no load: it must not excuse slowness.
         let at_once = end == DeliveryEnd::Error && nth == 0;
@@ -627,14 +626,14 @@
         if !matches!(end, DeliveryEnd::Acked | DeliveryEnd::NotSent) {
             self.losses = [0.95 * self.losses[0] + 1.0, 0.95 * self.losses[1]];
         }
-        if self.hosts.build[h] == build {
+        if self.hosts.build(h) == build {
             self.judge(h, op, share, end, took);
             self.health(h, end);
         }
         let acked = f64::from(u8::from(end == DeliveryEnd::Acked));
         self.ops[op].acks += acked;
         self.flow[1] += acked;
-        let newest = build.max(self.hosts.build[h]);
+        let newest = build.max(self.hosts.build(h));
         // An answer may have been written that nobody could read: it binds the key as well.
         let binds = key.0 != 0 && !self.sent_back(newest) && end.may_have_run() && end != DeliveryEnd::Error;
         let pin = self.pins.entry(key).or_default();
@@ -717,29 +716,32 @@
         match end {
             DeliveryEnd::Acked => {
                 // It answers: a connection broke, or one command erred, and not the host.
-                if std::mem::take(&mut self.hosts.strikes[h]) > 0 {
-                    self.hosts.shut_until[h] = self.now;
+                if self.hosts.strikes(h) > 0 {
+                    self.hosts.set_trouble(h, 0, self.now);
                 }
-                self.hosts.answers[h] = self.hosts.answers[h].saturating_add(1);
+                self.hosts.set_answers(h, self.hosts.answers(h).saturating_add(1));
             }
             // Fast errors draw traffic by fewest in flight: who errs or breaks loses what its answers earned.
             DeliveryEnd::Error | DeliveryEnd::Reset => {
-                self.hosts.answers[h] /= 2;
-                if self.hosts.answers[h] == 0 {
+                self.hosts.set_answers(h, self.hosts.answers(h) / 2);
+                if self.hosts.answers(h) == 0 {
                     self.strike(h, SECOND / 2);
                 }
             }
-            DeliveryEnd::Full => self.hosts.shut_until[h] = self.hosts.shut_until[h].max(self.now + 100 * MS),
+            DeliveryEnd::Full => {
+                let until = self.hosts.shut_until(h).max(self.now + 100 * MS);
+                self.hosts.set_trouble(h, self.hosts.strikes(h), until);
+            }
             DeliveryEnd::NotConnected => {
                 self.hosts.linked_at[h] = Micros::MIN;
-                self.learn_way(0, self.hosts.line[h].zone.0.into(), 2.0);
+                self.learn_way(0, self.hosts.line(h).zone.0.into(), 2.0);
                 self.strike(h, SECOND / 2);
             }
-            DeliveryEnd::TimedOut if self.mute(h) || self.hosts.strikes[h] > 0 => self.strike(h, SECOND),
+            DeliveryEnd::TimedOut if self.mute(h) || self.hosts.strikes(h) > 0 => self.strike(h, SECOND),
             _ => {}
         }
         if !matches!(end, DeliveryEnd::TimedOut | DeliveryEnd::Cancelled | DeliveryEnd::NotConnected) {
-            self.hosts.mute_since[h] = self.now;
+            self.hosts.came_back(h);
         }
     }
 
@@ -757,26 +759,26 @@
     }
 
     fn strike(&mut self, h: usize, pause: Micros) {
-        if self.now >= self.hosts.shut_until[h] {
-            self.hosts.shut_until[h] = self.now + (pause << self.hosts.strikes[h].min(3));
-            self.hosts.strikes[h] += 1;
+        if self.now >= self.hosts.shut_until(h) {
+            let strikes = self.hosts.strikes(h);
+            self.hosts.set_trouble(h, strikes + 1, self.now + (pause << strikes.min(3)));
         }
     }
 
     // ---- The judge ----
 
     fn judge(&mut self, h: usize, op: usize, share: usize, end: DeliveryEnd, took: Micros) {
-        let build = self.hosts.build[h];
+        let build = self.hosts.build(h);
         let failed = match end {
             DeliveryEnd::Acked => 0.0,
             DeliveryEnd::Error => 1.0,
             // Ways break connections too, and one crash breaks all that was out at the host: that is one
             // failure, of one that does little else; a time-out is none where it answered nobody.
-            DeliveryEnd::Reset if self.hosts.answers[h] < 2 && self.now >= self.hosts.shut_until[h] => 1.0,
+            DeliveryEnd::Reset if self.hosts.answers(h) < 2 && self.now >= self.hosts.shut_until(h) => 1.0,
             DeliveryEnd::TimedOut if (took as f64) < self.ops[op].target => return,
             DeliveryEnd::TimedOut if self.detour(1, op) > 0.0 => return self.learn_way(1, op, 2.0),
             // A full fleet times out too: that is slowness, which more traffic excuses, and no failure.
-            DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes[h] == 0 => 0.0,
+            DeliveryEnd::TimedOut if !self.mute(h) && self.hosts.strikes(h) == 0 => 0.0,
             _ => return,
         };
         let acked = end == DeliveryEnd::Acked;
@@ -784,7 +786,7 @@
         self.by_share.iter_mut().flatten().for_each(|n| *n *= 0.98);
         let erred = f64::from(u8::from(end == DeliveryEnd::Error));
         self.by_share[share] = [self.by_share[share][0] + 1.0, self.by_share[share][1] + erred];
-        let time = (took.max(1) as f64).ln() + self.warmth(h).ln();
+        let time = (took.max(1) as f64).ln() + self.warmth(self.hosts.age(h)).ln();
         // A mean of few answers may be off by chance; of many, one is very unlucky and speaks for all.
         let (rests_on, usual) = (f64::from(self.ops[op].usual_seen), self.ops[op].usual);
         let known = rests_on >= 5.0;
@@ -792,7 +794,7 @@
         let unsure = (luck / rests_on.sqrt() - 0.25).max(0.0);
         let slower = if acked { (time - usual - unsure).clamp(-2.0, 2.0) } else { 2.0 * (1.0 - failed) };
         let late = if known { slower } else { 0.0 };
-        let ways = [(0, self.hosts.line[h].zone.0.into()), (1, op), (2, share)];
+        let ways = [(0, self.hosts.line(h).zone.0.into()), (1, op), (2, share)];
         ways.iter().filter(|_| known).for_each(|&(kind, n)| self.learn_way(kind, n, late));
         let late = late - ways.map(|(kind, n)| self.detour(kind, n)).into_iter().fold(0.0, f64::max);
         self.hosts.lag[h] += 0.15 * (late - self.hosts.lag[h]);
@@ -800,7 +802,7 @@
             self.judge_shared(late);
         }
         let newest = self.news.is_some_and(|n| build >= n.build && !self.sent_back(n.build));
-        if newest && self.hosts.build.iter().any(|b| *b < build) {
+        if newest && self.hosts.oldest_build().is_some_and(|b| b < build) {
             self.seen += 1;
             self.seen_in_stage += 1;
             let wrong = &mut self.sums[self.ops.len() + 1];
@@ -840,18 +842,17 @@
     /// Two in five of a build's hosts (in a large fleet of those heard) convict it, two at least of three,
     /// for slowness always: each brings its part. It could harm where a build fails rarely on many hosts.
     fn add(&mut self, h: usize, which: usize, gain: f64) {
-        let peers = self.ready_with(self.hosts.build[h]).count();
-        let large = self.fig.fleet > MET_BY;
-        let heard = |h: &usize| !large || self.hosts.answers[*h] > 0 || self.hosts.blame[*h] > 0.0;
-        let heard = self.ready_with(self.hosts.build[h]).filter(heard).count();
+        let ready = self.hosts.ready_with(self.hosts.build(h));
+        let peers = ready.len();
+        let heard = if self.fig.fleet > MET_BY { ready.heard() } else { peers };
         let voices = [0.5, 0.5, 1.5].get(peers).copied();
         let voices = voices.unwrap_or((0.4 * heard as f64).clamp(2.0, MOST_VOICES));
         let most = SEND_BACK_AT / if which == self.ops.len() { voices.max(1.5) } else { voices };
-        let gain = if gain > 0.0 { gain.min((most - self.hosts.blame[h]).max(0.0)) } else { gain };
-        self.hosts.blame[h] = (self.hosts.blame[h] + gain).max(0.0);
+        let gain = if gain > 0.0 { gain.min((most - self.hosts.blame(h)).max(0.0)) } else { gain };
+        self.hosts.set_blame(h, (self.hosts.blame(h) + gain).max(0.0));
         self.sums[which] = (self.sums[which] + gain).max(0.0);
         if self.sum() <= 0.0 {
-            self.hosts.blame.fill(0.0);
+            self.hosts.clear_blame();
         }
     }
 
@@ -863,8 +864,8 @@
 
     /// Commands asked and answered of late, and one alone, for each whole host's worth of fit capacity.
     fn load(&self) -> [f64; 3] {
-        let open = |h: &usize| self.hosts.strikes[*h] == 0 && self.now >= self.hosts.shut_until[*h];
-        let able: f64 = self.ready().filter(open).map(|h| self.warmth(h)).sum();
+        let open = |h| self.hosts.strikes(h) == 0 && self.now >= self.hosts.shut_until(h);
+        let able = self.hosts.sum_ready(|age| self.warmth(age), open);
         let filled = 1.0 - (-(self.now - self.born) as f64 / (4 * SECOND) as f64).exp();
         [self.flow[0] / filled.max(0.1), self.flow[1] / filled.max(0.1), 1.0].map(|n| n / able.max(1.0))
     }
@@ -876,10 +877,9 @@
         let slower = asked.min(1.0).max(answered).max(lost).clamp(0.0, 1.5);
         // A fleet that sheds and yet answers as much as before is full: that is load, whatever was asked. One
         // that has just turned over was cold, and has the queue of that time to work off.
-        let young = self.ready().filter(|&h| self.age(h) < 3 * self.fig.warm_within).count();
         let full = self.flow[2] > 0.05 * self.flow[0] && now[1] > 0.95 * usual[1];
         [slower * f64::from(u8::from(usual[1] > 0.0)), 1.5]
-            [usize::from(full || 2 * young > self.ready().count())]
+            [usize::from(full || 2 * self.hosts.young_count() > self.hosts.ready_count())]
     }
 
     /// Guards against a build that slows the earlier hosts too: from its trial on every answer counts against
@@ -919,7 +919,7 @@
         let more = fewer.max(self.traffic[1].max(self.traffic[0]) / self.usual_traffic.max(1.0));
         let more = 1.5 * more.ln().max(0.0);
         let (usual, weight) = (rules.counted_usual, COUNT_WEIGHT * acked / (acked + 12.0));
-        if count.build < news.build || self.hosts.build.iter().all(|b| *b >= news.build) {
+        if count.build < news.build || self.hosts.oldest_build().is_none_or(|b| b >= news.build) {
             rules.counted = [0.8 * answered + acked, 0.8 * time + mean * acked];
             rules.counted_lost = (lost / (n + 4.0)).max(0.8 * rules.counted_lost);
             if !on_trial {
@@ -949,8 +949,8 @@
     pub fn disputed(&mut self, host: HostId, since: Micros) {
         let Some(&h) = self.index.get(&host) else { return };
         // An answer of the process before this one says nothing of its build.
-        let build = self.hosts.build[h];
-        let before = self.hosts.line[h].started.is_some_and(|at| self.now - since < at);
+        let build = self.hosts.build(h);
+        let before = self.hosts.line(h).started.is_some_and(|at| self.now - since < at);
         if !before && self.news.is_some_and(|n| build >= n.build) && !self.sent_back(build) {
             self.sums[self.ops.len() + 1] += self.fig.complaint_weight;
         }
@@ -967,11 +967,12 @@
         if !on_trial || self.fig.gate == Gate::Clocked {
             return (on_trial && self.sum() > HOLD_AT).then_some((news.build, news.stage, Verdict::Hold));
         }
-        let started = || self.ready_with(news.build).map(|h| self.hosts.line[h].started.unwrap_or(0));
-        let (count, latest) = (started().count(), started().max().unwrap_or(0));
+        let ready = self.hosts.ready_with(news.build);
+        let (count, latest) = (ready.len(), ready.latest_start().unwrap_or(0));
         let share = self.fig.stage_shares.get(usize::from(news.stage)).copied().unwrap_or(1.0);
-        let earlier = |h: &usize| self.fig.rolling || self.hosts.build[*h] < news.build;
-        let all = count > 0 && count as f64 >= (share * self.ready().filter(earlier).count() as f64).floor();
+        let earlier = self.hosts.ready_builds().filter(|(build, _)| self.fig.rolling || *build < news.build);
+        let earlier: usize = earlier.map(|(_, ready)| ready.len()).sum();
+        let all = count > 0 && count as f64 >= (share * earlier as f64).floor();
         let unlisted = Micros::from(!all && latest <= self.stage_began);
         let waited = self.now - latest.max(self.stage_began) - unlisted * 8 * SECOND;
         // Where one vote is enough, the fleet has seen many times what a quiet router has; but the one that
@@ -1030,7 +1031,7 @@
         self.forget_window();
         // Guards against a storm, a fleet most of which has died, a start beside few cold hosts: only answers
         // count, the dead's while they lived, over the time in which a whole host may answer one router once.
-        let whole: f64 = self.ready().map(|h| self.warmth(h)).sum();
+        let whole = self.hosts.sum_ready(|age| self.warmth(age), |_| true);
         self.lived = self.lived * fade.powf(0.25) + whole * (self.now - self.beaten) as f64 / SECOND as f64;
         let once = self.fig.fleet * self.ops.iter().map(|o| o.target).fold(0.0, f64::max) / SECOND as f64;
         let young = u8::from(self.now < self.born + 5 * SECOND);
@@ -1042,6 +1043,7 @@
             self.usual_load.iter_mut().zip(load).for_each(|(usual, load)| *usual += pace * (load - *usual));
         }
         self.beaten = self.now;
+        self.hosts.forget_trouble();
         self.place_held(out);
         self.lapse(out);
         self.hurry(out);
@@ -1072,6 +1074,7 @@
     let few = if quorum { (f64::from(terms.back_votes) / fleet / 0.2).min(1.0) } else { 1.0 };
     // Where a quorum decides, one report lets a router speak: false ones strike few at a time.
     let alone = (0.375 / terms.complaint_share.max(0.05)).clamp(1.0, 2.5);
+    let warm = terms.warm_within.max(1);
     let complaint_weight = if quorum { 1.3 * SEND_BACK_AT * few } else { alone };
     Figures {
         shares: if terms.shares.is_empty() { vec![1.0] } else { terms.shares.clone() },
@@ -1082,7 +1085,8 @@
         rolling: terms.rolling,
         longest_return: terms.may_name_return.then_some(terms.longest_return),
         cold_from: terms.cold_from.clamp(0.05, 1.0),
-        warm_within: terms.warm_within.max(1),
+        warm_within: warm,
+        starts: StartSpans { warming: warm, bounded: warm + SECOND, young: 3 * warm },
         fall_span: terms.fall_span.max(1),
         cold_part: COLD_PART * terms.fall_multiple * terms.fall_span as f64 / SECOND as f64,
         gate: terms.gate,
--- a/crates/spokeflow-core/src/state.rs
+++ b/crates/spokeflow-core/src/state/mod.rs
@@ -1,6 +1,16 @@
-//! What the router keeps in mind, without judgement: figures about op types, commands, keys and hosts.
+//! What the router keeps in mind, without judgement: figures about op types, commands and keys; `hosts` has those about hosts.
 
-use crate::{BuildId, Gate, HostLine, Key, Micros, OpTerms, Repeat, RepeatScope};
+mod hosts;
+mod pool;
+mod ready;
+mod window;
+
+pub use hosts::{Hosts, StartSpans};
+pub use pool::Pool;
+pub use ready::{Member, ReadyHosts, RecentStarts};
+pub use window::Window;
+
+use crate::{BuildId, Gate, Key, Micros, OpTerms, Repeat, RepeatScope};
 
 pub struct OpRules {
     pub repeat: Repeat,
@@ -74,62 +84,6 @@
     pub claims: u32,
 }
 
-/// Figures about hosts, in parallel arrays under a dense index.
-#[derive(Default)]
-pub struct Hosts {
-    /// What the list last said.
-    pub line: Vec<HostLine>,
-    pub build: Vec<BuildId>,
-    pub in_flight: Vec<u32>,
-    /// Sent in the last slot of time, and which that was.
-    pub sent: Vec<u32>,
-    pub slot: Vec<Micros>,
-    /// Acked by the present process; errors take them away again.
-    pub answers: Vec<u32>,
-    pub strikes: Vec<u32>,
-    pub shut_until: Vec<Micros>,
-    /// How much slower than usual the host answers, as a logarithm.
-    pub lag: Vec<f64>,
-    /// How busy its cores are, 0 to 1, as its last report said; NaN before the first, and when that came.
-    pub busy: Vec<f64>,
-    pub busy_at: Vec<Micros>,
-    /// When it last answered over a connection that has not been refused since.
-    pub linked_at: Vec<Micros>,
-    /// Since when nothing has come back while something is out.
-    pub mute_since: Vec<Micros>,
-    /// The host's part of the judge's sum.
-    pub blame: Vec<f64>,
-}
-
-impl Hosts {
-    pub fn add(&mut self, line: &HostLine) -> usize {
-        self.line.push(*line);
-        self.build.push(line.build.unwrap_or_default());
-        [&mut self.in_flight, &mut self.sent].into_iter().for_each(|v| v.push(0));
-        [&mut self.answers, &mut self.strikes].into_iter().for_each(|v| v.push(0));
-        [&mut self.shut_until, &mut self.mute_since, &mut self.busy_at, &mut self.linked_at]
-            .into_iter()
-            .for_each(|v| v.push(Micros::MIN));
-        self.busy.push(f64::NAN);
-        [&mut self.lag, &mut self.blame].into_iter().for_each(|v| v.push(0.0));
-        self.slot.push(Micros::MIN);
-        self.line.len() - 1
-    }
-
-    pub fn update(&mut self, h: usize, line: &HostLine) {
-        let build = line.build.unwrap_or(self.build[h]);
-        if self.line[h].started != line.started || self.build[h] != build {
-            // Another process, maybe another machine: nothing learned of the one before holds.
-            self.build[h] = build;
-            [&mut self.sent, &mut self.answers, &mut self.strikes].into_iter().for_each(|v| v[h] = 0);
-            [&mut self.lag, &mut self.blame].into_iter().for_each(|v| v[h] = 0.0);
-            (self.shut_until[h], self.linked_at[h]) = (Micros::MIN, Micros::MIN);
-            self.busy[h] = f64::NAN;
-        }
-        self.line[h] = *line;
-    }
-}
-
 /// The told terms as decisions use them.
 #[derive(Default)]
 pub struct Figures {
@@ -141,6 +95,7 @@
     pub longest_return: Option<Micros>,
     pub cold_from: f64,
     pub warm_within: Micros,
+    pub starts: StartSpans,
     pub fall_span: Micros,
     pub cold_part: f64,
     pub gate: Gate,
--- /dev/null
+++ b/crates/spokeflow-core/src/state/window.rs
@@ -0,0 +1,59 @@
+//! Events of a span of time with their numbers by kind, kept as events come and go.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::Micros;
+
+/// Events in the order of their times, each of a kind.
+#[derive(Debug)]
+pub struct Window<K> {
+    events: VecDeque<(Micros, K)>,
+    counts: BTreeMap<K, usize>,
+}
+
+impl<K> Default for Window<K> {
+    fn default() -> Self {
+        Window { events: VecDeque::new(), counts: BTreeMap::new() }
+    }
+}
+
+impl<K: Copy + Ord> Window<K> {
+    /// Adds an event; times do not go backwards.
+    pub fn push(&mut self, at: Micros, kind: K) {
+        self.events.push_back((at, kind));
+        *self.counts.entry(kind).or_default() += 1;
+    }
+
+    /// Removes the events before `from`.
+    pub fn forget_before(&mut self, from: Micros) {
+        while let Some((_, kind)) = self.events.pop_front_if(|(at, _)| *at < from) {
+            if let Some(count) = self.counts.get_mut(&kind) {
+                *count -= 1;
+                if *count == 0 {
+                    self.counts.remove(&kind);
+                }
+            }
+        }
+    }
+
+    /// All events in the window.
+    pub fn len(&self) -> usize {
+        self.events.len()
+    }
+
+    /// Whether the window holds no event.
+    pub fn is_empty(&self) -> bool {
+        self.events.is_empty()
+    }
+
+    /// The events of the kinds that `counts` names.
+    pub fn count(&self, counts: impl Fn(K) -> bool) -> usize {
+        self.counts.iter().filter(|(kind, _)| counts(**kind)).map(|(_, count)| count).sum()
+    }
+}
+
+impl<K: Copy + Ord> Extend<(Micros, K)> for Window<K> {
+    fn extend<I: IntoIterator<Item = (Micros, K)>>(&mut self, events: I) {
+        events.into_iter().for_each(|(at, kind)| self.push(at, kind));
+    }
+}
--- a/crates/spokeflow-core/tests/choices.rs
+++ b/crates/spokeflow-core/tests/choices.rs
@@ -19,7 +19,7 @@
         for fleet_size in [1, 60, 300, 1_300] {
             let seed = settings.len() as u64 + 1;
             let gate = [Gate::Single, Gate::Majority, Gate::Clocked][seed as usize % 3];
-            let (forward_only, rolling) = (seed % 4 < 2, seed % 5 > 0);
+            let (forward_only, rolling) = (seed % 4 < 2, !seed.is_multiple_of(5));
             let length = LENGTH;
             settings.push(Setting {
                 seed,
@@ -58,7 +58,7 @@
 #[test]
 fn choices_are_those_recorded() {
     let played: Vec<(u64, Counts)> =
-        settings().into_iter().map(|setting| World::new(setting).play(|_| ())).collect();
+        settings().into_iter().map(|setting| World::new(setting).play()).collect();
     for (setting, (digest, counts)) in settings().iter().zip(&played) {
         println!("0x{digest:016x}, // {} hosts, fleet of {}: {counts:?}", setting.hosts, setting.fleet_size);
     }
--- a/crates/spokeflow-core/tests/scenario/mod.rs
+++ b/crates/spokeflow-core/tests/scenario/mod.rs
@@ -204,18 +204,28 @@
         }
     }
 
-    /// Plays the run to its end; `look` is called after each step.
-    pub fn play(&mut self, mut look: impl FnMut(&Router)) -> (u64, Counts) {
+    /// Plays the run to its end and answers with the digest of all outputs.
+    pub fn play(&mut self) -> (u64, Counts) {
+        self.play_watched(|_| ())
+    }
+
+    /// As [`World::play`]; `look` is called after each step.
+    pub fn play_watched(&mut self, mut look: impl FnMut(&World)) -> (u64, Counts) {
         let lines = self.lines.clone();
         self.router.at(self.now).listed(ListKind::Remembered, &lines, &mut self.out);
         let to = self.now + self.setting.length;
         while self.now < to {
             self.step();
-            look(&self.router);
+            look(self);
         }
         (self.out.hash, self.out.counts)
     }
 
+    /// Deliveries that are out to a host.
+    pub fn open_at(&self, host: HostId) -> usize {
+        self.due.iter().filter(|due| due.3 == host.0).count()
+    }
+
     fn step(&mut self) {
         let gap = Micros::from(2 * SECOND as u32 / self.setting.commands_per_second);
         let until = self.now + self.random.between(1, gap + 1);
@@ -305,7 +315,7 @@
         let op = self.ops[cmd.0 as usize - 1];
         match self.trouble {
             _ if self.away(host.0) => 2 * MS,
-            Trouble::Hangs if host.0 % 5 == 0 => 2 * SECOND,
+            Trouble::Hangs if host.0.is_multiple_of(5) => 2 * SECOND,
             Trouble::SlowOp(slow) if slow == op => 10 * usual,
             _ => usual,
         }
@@ -316,7 +326,7 @@
         let on_trial = self.lines[host as usize].build > Some(BuildId(FIRST_BUILD));
         let end = match self.trouble {
             _ if self.away(host) => self.random.pick(&[NotConnected, NotConnected, Reset]),
-            Trouble::Hangs if host % 5 == 0 => TimedOut,
+            Trouble::Hangs if host.is_multiple_of(5) => TimedOut,
             Trouble::BadBuild if on_trial && self.random.one_in(2) => Error,
             _ if self.random.one_in(30) => self.random.pick(&[Error, Full, TimedOut, Reset, NotSent, Error]),
             _ => Acked,
