Leases are kept by expiry and counted by revision: a request no longer walks them all

Cause: Granter::ask walked every lease on each request, and Granter::ready did on each message while a revision was announced. Change: LeaseTable (src/leases.rs) keeps the leases by process, by expiry and counted by revision; ready() takes out what is over as well, which needs that the keeper's clock does not go back (it is monotonic; said on Granter).

--- a/crates/spokeflow-agreed/src/granter.rs
+++ b/crates/spokeflow-agreed/src/granter.rs
@@ -1,10 +1,9 @@
 //! The leading keeper's side: who holds a lease, and when the announced revision may come into force.
 
-use std::collections::BTreeMap;
-
 use serde::{Deserialize, Serialize};
 use spokeflow_core::Micros;
 
+use crate::leases::{Lease, LeaseTable};
 use crate::{Asked, LeaseTerms, Ledger, ListPart, Revision, RevisionNo};
 
 /// Routers whose leases are kept in mind; beyond, an announced revision waits for time alone.
@@ -36,34 +35,28 @@
     pub addresses: Vec<String>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Lease {
-    until: Micros,
-    acts_on: RevisionNo,
-}
-
-/// All figures are of the present leadership: a keeper that is elected anew begins with none.
+/// All figures are of the present leadership: a keeper that is elected anew begins with none. Times are of the keeper's
+/// clock, which never goes back from one call to the next.
 #[derive(Clone, Debug)]
 pub struct Granter {
     terms: LeaseTerms,
     /// From when on nobody else can have given leases.
     led_since: Micros,
     announced: Option<(RevisionNo, Micros)>,
-    /// By router's process.
-    leases: BTreeMap<u64, Lease>,
+    leases: LeaseTable,
     over: bool,
 }
 
 impl Granter {
     pub fn new(terms: LeaseTerms, now: Micros) -> Self {
-        Granter { terms, led_since: now, announced: None, leases: BTreeMap::new(), over: false }
+        Granter { terms, led_since: now, announced: None, leases: LeaseTable::default(), over: false }
     }
 
     /// To be called by a leader that speaks at this moment, only.
     pub fn ask(&mut self, now: Micros, asked: &Asked, ledger: &Ledger, seats: &Seats) -> Grant {
-        self.leases.retain(|_, l| l.until > now);
+        self.leases.remove_expired(now);
         let until = now + self.terms.waits();
-        let known = self.leases.get(&asked.process).map_or(RevisionNo(0), |l| l.acts_on);
+        let known = self.leases.acts_on(asked.process).unwrap_or(RevisionNo(0));
         if known == RevisionNo(0) && self.leases.len() >= HOLDERS {
             self.over = true;
         } else {
@@ -94,7 +87,8 @@
         let waits = self.terms.waits();
         // Leases of an earlier leader are not known here: they have to run out.
         let all_known = now - self.led_since >= waits && !self.over;
-        let all_act = self.leases.values().all(|l| l.until <= now || l.acts_on >= number);
+        self.leases.remove_expired(now);
+        let all_act = self.leases.all_act_on(number);
         (now - since >= waits || all_known && all_act).then_some(number)
     }
 
@@ -107,7 +101,6 @@
 
     /// Live leases, and how many of them are of routers that act on the newest revision.
     pub fn counts(&self, now: Micros, ledger: &Ledger) -> (usize, usize) {
-        let live = || self.leases.values().filter(|l| l.until > now);
-        (live().count(), live().filter(|l| l.acts_on >= ledger.newest()).count())
+        self.leases.live(now, ledger.newest())
     }
 }
--- a/crates/spokeflow-agreed/src/lib.rs
+++ b/crates/spokeflow-agreed/src/lib.rs
@@ -9,6 +9,7 @@
 mod holder;
 mod hosts;
 mod keeper;
+mod leases;
 mod ledger;
 mod terms;
 pub mod wire;
