The emulator's world is split by what it models

Cause: world.rs had 1,657 lines: clients, connections, hosts, list, release controller, faults and links in one file. The tokens of the code before and after differ by seven impl blocks and shortened paths alone.

--- a/crates/spokeflow-emulator/src/lib.rs
+++ b/crates/spokeflow-emulator/src/lib.rs
@@ -6,10 +6,11 @@
 mod brain;
 mod pair;
 mod plain;
+mod play;
 mod terms;
 mod world;
 
 pub use agreement::{play_agreement, AgreementDay, AgreementPlayed};
 pub use brain::{Brain, Look, Who, Wiring};
+pub use play::{play, play_with, Played, Watch};
 pub use terms::engine_terms;
-pub use world::{play, play_with, Played, Watch};
--- /dev/null
+++ b/crates/spokeflow-emulator/src/play.rs
@@ -0,0 +1,53 @@
+//! Plays a day, and gives what came of it.
+
+use spokeflow_scenario::check::{check, RuleTerms};
+use spokeflow_scenario::report::Report;
+use spokeflow_scenario::scenario::Scenario;
+use spokeflow_scenario::seen::Seen;
+use spokeflow_scenario::Micros;
+
+use crate::brain::Who;
+use crate::world::World;
+
+/// What is told of a day while it is played.
+pub trait Watch {
+    fn passed(&mut self, _at: Micros) {}
+    fn seen(&mut self, _at: Micros, _seen: &Seen) {}
+}
+
+impl Watch for () {}
+
+/// Keeps the trace, for the messages beside what is broken.
+impl Watch for Vec<(Micros, Seen)> {
+    fn seen(&mut self, at: Micros, seen: &Seen) {
+        self.push((at, seen.clone()));
+    }
+}
+
+pub struct Played {
+    pub report: Report,
+    pub events: u64,
+    /// Simulated microseconds, lead and last answers among them.
+    pub span: Micros,
+    /// The most events, tries and hosts' seats kept at a time.
+    pub most_kept: [usize; 3],
+}
+
+/// Plays a day to its end. Only the first breaks of a rule carry messages, where `explain` says so: the day is
+/// then played a second time, which gives the same.
+pub fn play(day: &Scenario, who: Who, explain: bool) -> Played {
+    let mut played = play_with(day, who, &mut ());
+    if explain && !played.report.broken.is_empty() {
+        let mut trace: Vec<(Micros, Seen)> = Vec::new();
+        play_with(day, who, &mut trace);
+        let mut broken = check(&RuleTerms::of(day), &trace);
+        for (to, from) in played.report.broken.iter_mut().zip(broken.iter_mut()) {
+            to.messages = std::mem::take(&mut from.messages);
+        }
+    }
+    played
+}
+
+pub fn play_with(day: &Scenario, who: Who, watch: &mut dyn Watch) -> Played {
+    World::new(day.clone(), who).run(watch)
+}
--- /dev/null
+++ b/crates/spokeflow-emulator/src/world/faults.rs
@@ -0,0 +1,171 @@
+//! What goes wrong on a day: its faults begin and end, and hosts slow each other down.
+
+use std::rc::Rc;
+
+use rand::seq::SliceRandom;
+use spokeflow_scenario::host::Ailment;
+use spokeflow_scenario::scenario::{Flaw, Kind};
+use spokeflow_scenario::seen::{Phase, Process, Seen};
+use spokeflow_scenario::{Micros, SECOND};
+
+use super::event::What;
+use super::hosts::Seat;
+use super::{World, LEAD, LOCAL_WAY, SLOW_TICK};
+
+impl World {
+    pub(super) fn slow_tick(&mut self) {
+        self.plan(SLOW_TICK, What::SlowTick);
+        let (mut held, mut cold, mut running) = (0, 0, 0);
+        let mut drags = 0.0;
+        let flawed = |build: u16| self.day.builds.iter().find(|b| b.number == build).map(|b| b.flaw);
+        for (_, seat) in &self.seats {
+            let Some(process) = &seat.process else { continue };
+            running += 1;
+            held += process.model.held() as u64;
+            cold += u64::from(seat.started.is_some_and(|at| self.now - at < self.day.warm_within));
+            if let Some(Flaw::Shared(times)) = flawed(seat.build) {
+                drags += 2.0 * (times - 1.0);
+            }
+        }
+        let drag = (1.0 + drags / f64::from(running.max(1))).min(4.0);
+        let group = self.day.neighbours.max(1) as usize;
+        let mut busy =
+            vec![
+                (0.0, 0.0);
+                if group > 1 { self.pairs.len() / self.day.routers as usize / group + 1 } else { 0 }
+            ];
+        if group > 1 {
+            for (n, seat) in &self.seats {
+                if let Some(process) = &seat.process {
+                    let of = &mut busy[n / group];
+                    *of = (of.0 + process.model.busy(), of.1 + 1.0);
+                }
+            }
+        }
+        for (n, seat) in &mut self.seats {
+            let Some(process) = &mut seat.process else { continue };
+            process.model.ailment.drag = drag;
+            if group > 1 {
+                let (all, hosts) = busy[n / group];
+                let others = (all - process.model.busy()) / f64::max(hosts - 1.0, 1.0);
+                process.model.ailment.neighbours =
+                    1.0 / (1.0 - 0.9 * self.day.steal * others.clamp(0.0, 1.0));
+            }
+        }
+        let at = self.now;
+        if let Some(record) = self.record.as_mut().filter(|_| at >= LEAD) {
+            record.stands(at, held, cold);
+        }
+    }
+
+    fn strike(&mut self, n: usize, part: f64) -> Vec<u32> {
+        let runs = |s: &&Seat| s.process.is_some() && !s.draining;
+        let mut running: Vec<u32> = self.seats.iter().map(|s| s.1).filter(runs).map(|s| s.host).collect();
+        running.sort_unstable();
+        running.shuffle(&mut self.rng);
+        running.truncate(((running.len() as f64 * part).round() as usize).max(1));
+        self.struck.insert(n, running.clone());
+        running
+    }
+
+    fn ail(&mut self, hosts: &[u32], ail: impl Fn(&mut Ailment)) {
+        for host in hosts {
+            let seat = self.seat_of.get(host).copied();
+            if let Some(process) = seat.and_then(|s| self.seats[s].process.as_mut()) {
+                ail(&mut process.model.ailment);
+            }
+        }
+    }
+
+    fn all_hosts(&self) -> Vec<u32> {
+        self.seats.iter().map(|s| s.1.host).collect()
+    }
+
+    pub(super) fn begin(&mut self, n: usize) {
+        let trouble = self.day.troubles[n];
+        self.note(Seen::Trouble { what: format!("begins: {trouble}") });
+        self.lasting.push((n, trouble));
+        self.plan(trouble.lasts, What::End(n));
+        if self.faults.begin(&self.day, n, &trouble) {
+            if self.faults.list_breaks {
+                let up: Vec<Process> = self.routers.iter().filter(|r| r.list_up).map(|r| r.process).collect();
+                up.into_iter().for_each(|by| self.list_lost(by));
+            }
+            return;
+        }
+        let seconds = (trouble.size * SECOND as f64) as Micros;
+        match trouble.kind {
+            Kind::Kill | Kind::LoneHost => {
+                for (nth, host) in self.strike(n, trouble.part).into_iter().enumerate() {
+                    let (incarnation, late) = (self.incarnation(host), self.late());
+                    if let Some(&seat) = self.seat_of.get(&host) {
+                        self.kill_host(seat);
+                    }
+                    self.list(host, Phase::Gone, incarnation, late);
+                    let first = trouble.kind == Kind::LoneHost && nth == 0;
+                    self.plan(if first { seconds } else { trouble.lasts }, What::Revive(host));
+                }
+            }
+            Kind::Hang => {
+                let struck = self.strike(n, trouble.part);
+                self.ail(&struck, |a| a.hangs = true);
+            }
+            Kind::Slow => {
+                let struck = self.strike(n, trouble.part);
+                self.ail(&struck, |a| a.slower = trouble.size.max(1.0));
+            }
+            Kind::FastErrors => {
+                let struck = self.strike(n, trouble.part);
+                self.ail(&struck, |a| a.fails = trouble.size.clamp(0.0, 1.0));
+            }
+            Kind::SlowOp => {
+                let all = self.all_hosts();
+                self.ail(&all, |a| a.slow_op = (0, trouble.size.max(1.0)));
+            }
+            Kind::RouterKill | Kind::RouterRoll => {
+                let mut all: Vec<u32> = (0..self.day.routers).collect();
+                all.shuffle(&mut self.rng);
+                all.truncate(((all.len() as f64 * trouble.part).round() as usize).max(1));
+                if trouble.kind == Kind::RouterRoll {
+                    let apart = trouble.lasts / all.len() as Micros;
+                    let routers = Rc::new(all);
+                    // Of a large fleet many end at a time, so that the roll takes as long as it lasts.
+                    return self.happen(What::Roll { routers, nth: 0, down: seconds, apart });
+                }
+                for router in all {
+                    let by = self.routers[router as usize].process;
+                    if self.routers[router as usize].brain.is_some() {
+                        self.stop_router(router, Seen::RouterKilled(by));
+                        self.plan(trouble.lasts, What::Start { router, then: None });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn end_trouble(&mut self, n: usize) {
+        let trouble = self.day.troubles[n];
+        self.note(Seen::Trouble { what: format!("ends: {}", trouble.kind.name()) });
+        self.lasting.retain(|l| l.0 != n);
+        let others = self.lasting.clone();
+        let day = std::mem::take(&mut self.day.troubles);
+        self.faults.end(&self.day, &trouble, &others);
+        self.day.troubles = day;
+        let struck = self.struck.remove(&n).unwrap_or_default();
+        match trouble.kind {
+            Kind::Hang => self.ail(&struck, |a| a.hangs = false),
+            Kind::Slow => self.ail(&struck, |a| a.slower = 1.0),
+            Kind::FastErrors => self.ail(&struck, |a| a.fails = 0.0),
+            Kind::SlowOp => {
+                let all = self.all_hosts();
+                self.ail(&all, |a| a.slow_op = (usize::MAX, 1.0));
+            }
+            _ => {}
+        }
+        // What met a cut or a stall goes on now, or meets the next one.
+        for what in std::mem::take(&mut self.blocked) {
+            self.plan(LOCAL_WAY, what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-emulator/src/world/host_list.rs
@@ -0,0 +1,168 @@
+//! The list of hosts, and each router's connection to it.
+
+use std::rc::Rc;
+
+use rand::RngExt;
+use spokeflow_engine::Input;
+use spokeflow_proto::{FromList, Line, LinePhase};
+use spokeflow_scenario::board::Entry;
+use spokeflow_scenario::faults::{Way, OFFICE_SITE};
+use spokeflow_scenario::seen::{Phase, Process, Seen};
+use spokeflow_scenario::{Micros, MS, SECOND};
+
+use super::event::What;
+use super::{World, LOCAL_WAY};
+use crate::pair::pause;
+
+const LIST_RENEW: Micros = 5 * SECOND;
+
+impl World {
+    pub(super) fn board_tick(&mut self) {
+        let before = self.board.version();
+        self.board.tick(self.now);
+        if self.board.version() == before {
+            return;
+        }
+        for router in 0..self.routers.len() {
+            let seat = &self.routers[router];
+            if seat.watches && seat.list_up && seat.list_held.is_some_and(|v| v < self.board.version()) {
+                let (by, link, held) = (seat.process, seat.list_link, seat.list_held);
+                self.tell_list(by, link, held);
+            }
+        }
+    }
+
+    fn tell_list(&mut self, by: Process, link: u32, have: Option<u64>) {
+        let now = self.now;
+        let (whole, entries) = self.board.since(have);
+        let line = |e: &&Entry| Line {
+            host: e.host,
+            address: String::new(),
+            build: Some(e.build),
+            cell: 0,
+            zone: e.site,
+            phase: match e.phase {
+                Phase::Gone => LinePhase::Gone,
+                Phase::Ready => LinePhase::Ready,
+                Phase::Draining => LinePhase::Draining,
+            },
+            incarnation: e.incarnation,
+            up_us: e.started.map(|at| (now - at).max(0) as u64),
+        };
+        let (version, lines) = (self.board.version(), entries.iter().map(line).collect());
+        let message =
+            if whole { FromList::Whole { version, lines } } else { FromList::Changes { version, lines } };
+        self.routers[by.router as usize].list_held = Some(version);
+        self.tell_router(by, |by| What::ListTo { by, link, message: Rc::new(message) });
+    }
+
+    /// From list or desk to a router, in order.
+    pub(super) fn tell_router(&mut self, by: Process, what: impl FnOnce(Process) -> What) {
+        let seat = &self.routers[by.router as usize];
+        let way = self.faults.way(OFFICE_SITE, seat.site, Way::Office).unwrap_or(2 * MS).max(LOCAL_WAY);
+        let at = (self.now + way).max(seat.office_last[0]);
+        self.routers[by.router as usize].office_last[0] = at;
+        self.plan_at(at, what(by));
+    }
+
+    pub(super) fn ask_office(&mut self, by: Process, what: impl FnOnce(Process) -> What) {
+        let seat = &self.routers[by.router as usize];
+        let way = self.faults.way(seat.site, OFFICE_SITE, Way::Office).unwrap_or(2 * MS).max(LOCAL_WAY);
+        let at = (self.now + way).max(seat.office_last[1]);
+        self.routers[by.router as usize].office_last[1] = at;
+        self.plan_at(at, what(by));
+    }
+
+    pub(super) fn office_cut(&self, by: Process) -> bool {
+        let site = self.routers[by.router as usize].site;
+        self.faults.way(OFFICE_SITE, site, Way::Office).is_none()
+    }
+
+    fn stale(&self, by: Process, link: u32) -> bool {
+        let seat = &self.routers[by.router as usize];
+        seat.process != by || seat.list_link != link || seat.brain.is_none()
+    }
+
+    pub(super) fn list_ask(&mut self, by: Process, link: u32, have: Option<u64>) {
+        if self.stale(by, link) {
+            return;
+        }
+        if self.office_cut(by) {
+            return self.blocked.push(What::ListAsk { by, link, have });
+        }
+        self.routers[by.router as usize].watches = true;
+        self.tell_list(by, link, have);
+    }
+
+    pub(super) fn list_to(&mut self, by: Process, link: u32, message: &Rc<FromList>) {
+        if self.stale(by, link) {
+            return;
+        }
+        if self.office_cut(by) {
+            return self.blocked.push(What::ListTo { by, link, message: message.clone() });
+        }
+        let (whole, lines) = match &**message {
+            FromList::Whole { lines, .. } => (true, lines),
+            FromList::Changes { lines, .. } => (false, lines),
+            _ => return,
+        };
+        let phase = |l: &Line| match l.phase {
+            LinePhase::Gone => Phase::Gone,
+            LinePhase::Ready => Phase::Ready,
+            LinePhase::Draining => Phase::Draining,
+        };
+        if whole || !lines.is_empty() {
+            let lines = lines.iter().map(|l| (l.host, l.build.unwrap_or(0), phase(l))).collect();
+            self.note(Seen::Listed { to: by, whole, lines });
+        }
+        let seat = &mut self.routers[by.router as usize];
+        (seat.list_heard, seat.list_unheard) = (self.now, 0);
+        let message = FromList::clone(message);
+        self.give(by, Input::FromList(message));
+    }
+
+    pub(super) fn list_renew(&mut self, by: Process, link: u32) {
+        if self.stale(by, link) {
+            return;
+        }
+        let seat = &mut self.routers[by.router as usize];
+        let due = seat.list_heard + LIST_RENEW;
+        if self.now < due {
+            return self.plan_at(due, What::ListRenew { by, link });
+        }
+        seat.list_unheard += 1;
+        if seat.list_unheard > 3 {
+            return self.list_lost(by);
+        }
+        seat.list_heard = self.now;
+        let have = seat.list_held;
+        self.ask_office(by, |by| What::ListAsk { by, link, have });
+        self.plan(LIST_RENEW, What::ListRenew { by, link });
+    }
+
+    pub(super) fn list_lost(&mut self, by: Process) {
+        let drawn = self.rng.random_range(0.5..1.0);
+        let seat = &mut self.routers[by.router as usize];
+        seat.list_link += 1;
+        (seat.list_up, seat.watches) = (false, false);
+        seat.list_failures += 1;
+        let (link, after) = (seat.list_link, pause(seat.list_failures - 1, drawn));
+        self.plan(after, What::ListOpen { by, link });
+        self.give(by, Input::ListGone);
+    }
+
+    pub(super) fn list_open(&mut self, by: Process, link: u32) {
+        if self.stale(by, link) {
+            return;
+        }
+        if self.faults.list_breaks || self.office_cut(by) {
+            return self.list_lost(by);
+        }
+        let seat = &mut self.routers[by.router as usize];
+        (seat.list_up, seat.list_failures) = (true, 0);
+        (seat.list_heard, seat.list_unheard) = (self.now, 0);
+        let have = seat.list_held;
+        self.ask_office(by, |by| What::ListAsk { by, link, have });
+        self.plan(LIST_RENEW, What::ListRenew { by, link });
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-emulator/src/world/hosts.rs
@@ -0,0 +1,202 @@
+//! Hosts: their processes from boot to end, and the work that these do.
+
+use rand::RngExt;
+use spokeflow_scenario::board::Entry;
+use spokeflow_scenario::desk::Order;
+use spokeflow_scenario::host::{Done, Host};
+use spokeflow_scenario::scenario::{Flaw, Kind};
+use spokeflow_scenario::seen::{Phase, ReplyKind, Seen};
+use spokeflow_scenario::{Micros, MS, SECOND};
+
+use super::event::{RouterWord, What};
+use super::World;
+use crate::pair::{Link, Pair};
+
+/// What a seat of a host that is gone for good is kept for.
+const SEAT_KEPT: Micros = 90 * SECOND;
+
+pub(super) struct HostProcess {
+    pub(super) model: Host,
+    pub(super) incarnation: u64,
+    pub(super) began: Micros,
+    pub(super) due: Micros,
+}
+
+pub(super) struct Seat {
+    pub(super) host: u32,
+    pub(super) site: u16,
+    pub(super) build: u16,
+    pub(super) started: Option<Micros>,
+    pub(super) process: Option<HostProcess>,
+    pub(super) draining: bool,
+}
+
+impl World {
+    pub(super) fn seat(&mut self, host: u32, build: u16, started: Option<Micros>) {
+        let site = (host % u32::from(self.day.sites)) as u16;
+        let seat = self.seats.insert(Seat { host, site, build, started, process: None, draining: false });
+        self.seat_of.insert(host, seat);
+        self.most[2] = self.most[2].max(self.seats.len());
+        let pairs = (seat + 1) * self.day.routers as usize;
+        if self.pairs.len() < pairs {
+            self.pairs.resize_with(pairs, Pair::default);
+        }
+    }
+
+    pub(super) fn run_host(&mut self, host: u32) {
+        let Some(&seat) = self.seat_of.get(&host) else { return };
+        let incarnation = self.number();
+        let (build, started) = (self.seats[seat].build, self.seats[seat].started);
+        let made = self.day.builds.iter().find(|b| b.number == build);
+        let (flaw, speed) = made.map_or((Flaw::None, 1.0), |b| (b.flaw, b.speed));
+        let seed = self.day.seed ^ u64::from(host) << 20 ^ incarnation << 40;
+        let mut model = Host::new(&self.day, flaw, speed, started, seed);
+        if let Some((_, t)) = self.lasting.iter().find(|(_, t)| t.kind == Kind::SlowOp) {
+            model.ailment.slow_op = (0, t.size.max(1.0));
+        }
+        let process = HostProcess { model, incarnation, began: self.now, due: Micros::MAX };
+        self.seats[seat].process = Some(process);
+        let late = if started.is_none() { 0 } else { self.late() };
+        self.list(host, Phase::Ready, incarnation, late);
+    }
+
+    pub(super) fn late(&mut self) -> Micros {
+        let [least, most] = self.day.list_late;
+        self.rng.random_range(least..most) + self.faults.late_list
+    }
+
+    pub(super) fn list(&mut self, host: u32, phase: Phase, incarnation: u64, late: Micros) {
+        let Some(&seat) = self.seat_of.get(&host) else { return };
+        let Seat { site, build, started, .. } = self.seats[seat];
+        let address = String::new();
+        let entry = Entry { host, address, site, build, phase, incarnation, started };
+        let at = self.board.know_at(self.now + late, entry);
+        if at > self.now {
+            self.plan_at(at, What::BoardTick);
+        }
+    }
+
+    pub(super) fn incarnation(&self, host: u32) -> u64 {
+        let seat = self.seat_of.get(&host).map(|s| &self.seats[*s]);
+        seat.and_then(|s| s.process.as_ref()).map_or(0, |p| p.incarnation)
+    }
+
+    /// The process of a host is no more: its connections break.
+    pub(super) fn kill_host(&mut self, seat: usize) {
+        self.seats[seat].process = None;
+        for router in 0..self.day.routers {
+            let pair = self.pair_of(seat, router);
+            if self.pairs[pair].link == Link::Up {
+                let epoch = self.pairs[pair].epoch;
+                self.reply(pair, epoch, RouterWord::Broken);
+            }
+        }
+    }
+
+    pub(super) fn fell(&mut self, seat: usize) {
+        let host = self.seats[seat].host;
+        self.note(Seen::Fell { host });
+        for router in 0..self.day.routers {
+            let pair = self.pair_of(seat, router);
+            if self.pairs[pair].link == Link::Up {
+                let epoch = self.pairs[pair].epoch;
+                self.reply(pair, epoch, RouterWord::Broken);
+            }
+        }
+    }
+
+    pub(super) fn boot(&mut self, host: u32) {
+        let Some(&seat) = self.seat_of.get(&host) else { return };
+        if self.seats[seat].draining {
+            return;
+        }
+        self.seats[seat].started = Some(self.now);
+        self.run_host(host);
+        let mut orders = Vec::new();
+        self.desk.runs(self.now, host, &mut orders);
+        self.carry_out(orders);
+    }
+
+    pub(super) fn stop(&mut self, host: u32) {
+        let Some(&seat) = self.seat_of.get(&host) else { return };
+        // It goes on while it has work, for some time.
+        let busy = self.seats[seat].process.as_ref().is_some_and(|p| p.model.held() > 0 && !p.model.fallen);
+        if busy {
+            return self.plan(100 * MS, What::Stop(host));
+        }
+        let (incarnation, late) = (self.incarnation(host), self.late());
+        self.kill_host(seat);
+        self.list(host, Phase::Gone, incarnation, late);
+        self.plan(late + SEAT_KEPT, What::Free(host));
+    }
+
+    pub(super) fn free(&mut self, host: u32) {
+        let Some(seat) = self.seat_of.remove(&host) else { return };
+        self.seats.remove(seat);
+        for router in 0..self.day.routers {
+            let pair = self.pair_of(seat, router);
+            self.pairs[pair].reset();
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Start { host, build, .. } => {
+                    let [least, most] = self.day.boot;
+                    self.seat(host, build, Some(self.now));
+                    let after = self.rng.random_range(least..most);
+                    self.plan(after, What::Boot(host));
+                }
+                Order::Drain { host } => {
+                    let Some(&seat) = self.seat_of.get(&host) else { continue };
+                    self.seats[seat].draining = true;
+                    if self.seats[seat].process.is_some() {
+                        let (incarnation, late) = (self.incarnation(host), self.late());
+                        self.list(host, Phase::Draining, incarnation, late);
+                        self.plan(late + self.day.drain, What::Stop(host));
+                    } else {
+                        self.plan(SEAT_KEPT, What::Free(host));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends what has ended and begins what can begin.
+    pub(super) fn pump(&mut self, seat: usize) {
+        let (host, build) = (self.seats[seat].host, self.seats[seat].build);
+        let Some(process) = self.seats[seat].process.as_mut().filter(|p| !p.model.fallen) else { return };
+        let ended = process.model.ended(self.now);
+        let begun = process.model.begin(self.now, &mut self.marks);
+        let next = process.model.next();
+        let incarnation = process.incarnation;
+        if let Some(at) = next.filter(|at| *at < process.due) {
+            process.due = at;
+            self.plan_at(at, What::HostDue { seat, incarnation, at });
+        }
+        for (job, done) in ended {
+            let (delivery, tried) = (job.delivery, job.tried);
+            let (word, kind) = match done {
+                Done::Acked { wrong } => (RouterWord::Acked { delivery, wrong }, ReplyKind::Acked),
+                Done::Error => (RouterWord::Error(delivery), ReplyKind::Error),
+                Done::Silent => continue,
+            };
+            self.note(Seen::Replied { host, tried, delivery, kind });
+            self.reply((job.from >> 32) as usize, job.from as u32, word);
+        }
+        for begun in begun.into_iter().filter(|b| b.effect) {
+            let (tried, command, op) = (begun.tried, begun.command, begun.op as u16);
+            self.note(Seen::Ran { host, build, tried, command, op });
+        }
+    }
+
+    pub(super) fn host_due(&mut self, seat: usize, incarnation: u64, at: Micros) {
+        let process = self.seats.get_mut(seat).and_then(|s| s.process.as_mut());
+        let Some(process) = process.filter(|p| p.incarnation == incarnation) else { return };
+        if process.due == at {
+            process.due = Micros::MAX;
+        }
+        self.pump(seat);
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-emulator/src/world/links.rs
@@ -0,0 +1,197 @@
+//! The links of a router: what it sends to clients, hosts, the list, the release controller and other routers.
+
+use std::rc::Rc;
+
+use spokeflow_core::{BuildId, HostId};
+use spokeflow_engine::{Links, NoAnswer};
+use spokeflow_proto::{BallotVerdict, ToClient, ToDesk, ToHost, ToList};
+use spokeflow_scenario::desk::Verdict;
+use spokeflow_scenario::faults::Way;
+use spokeflow_scenario::scenario::Flaw;
+use spokeflow_scenario::seen::Process;
+use spokeflow_scenario::traffic::TryEnd;
+use spokeflow_scenario::Micros;
+
+use super::clients::read_body;
+use super::event::{HostWord, What};
+use super::{World, LOCAL_WAY};
+use crate::brain::{Look, Wiring};
+use crate::pair::{Link, Parcel, IDLE, QUEUE};
+
+/// The links of one router, for as long as its brain is asked.
+pub(super) struct Wires<'a> {
+    pub(super) world: &'a mut World,
+    pub(super) router: u32,
+}
+
+impl Wires<'_> {
+    fn by(&self) -> Process {
+        self.world.routers[self.router as usize].process
+    }
+
+    fn pair(&self, host: HostId) -> Option<usize> {
+        let seat = self.world.seat_of.get(&host.0)?;
+        Some(self.world.pair_of(*seat, self.router))
+    }
+}
+
+impl Links for Wires<'_> {
+    fn to_client(&mut self, _conn: u64, message: ToClient) {
+        let (tried, end, receipt) = match message {
+            ToClient::Acked { id, build, receipt, body } => {
+                (id, TryEnd::Acked { build, wrong: &body[..] == b"wrong" }, receipt)
+            }
+            ToClient::Nacked { id, come_back_us } => {
+                (id, TryEnd::Nacked(come_back_us.map(|t| t as Micros)), 0)
+            }
+            ToClient::Failed { id } => (id, TryEnd::Failed, 0),
+            _ => return,
+        };
+        self.world.plan(LOCAL_WAY, What::AtClient { tried, end, receipt });
+    }
+
+    fn to_host(&mut self, host: HostId, message: ToHost, leave_by: Micros) -> bool {
+        let by = self.by();
+        let now = self.world.now;
+        let Some(pair) = self.pair(host) else {
+            // Gone for long: nothing answers there.
+            if let ToHost::Deliver { delivery, .. } = message {
+                let end = NoAnswer::NotConnected;
+                self.world.plan(0, What::Lost { by, host: host.0, delivery, end });
+            }
+            return true;
+        };
+        match message {
+            ToHost::Deliver { delivery, op, key, mark, left_us, body, .. } => {
+                let (tried, command) = read_body(&body);
+                let left = left_us.min(1 << 40) as Micros;
+                let parcel = Parcel { delivery, tried, command, op, key, mark, left, leave_by };
+                let p = &mut self.world.pairs[pair];
+                if p.waiting.len() >= QUEUE {
+                    return false;
+                }
+                if !p.open {
+                    self.world.lose(pair, [delivery], NoAnswer::NotSent);
+                    return true;
+                }
+                if p.link == Link::Up && p.idle() && now - p.used > IDLE {
+                    p.drop_link();
+                }
+                match p.link {
+                    Link::Up => self.world.deliver(pair, parcel),
+                    Link::Connecting => p.waiting.push(parcel),
+                    Link::Closed if now < p.not_before => {
+                        self.world.lose(pair, [delivery], NoAnswer::NotConnected);
+                    }
+                    Link::Closed => {
+                        p.waiting.push(parcel);
+                        self.world.connect(pair);
+                    }
+                }
+            }
+            ToHost::Cancel { delivery } => {
+                let p = &mut self.world.pairs[pair];
+                if let Some(at) = p.waiting.iter().position(|w| w.delivery == delivery) {
+                    p.waiting.remove(at);
+                    self.world.lose(pair, [delivery], NoAnswer::NotSent);
+                } else if let Some(at) = p.out.iter().position(|d| *d == delivery) {
+                    p.out.remove(at);
+                    p.cancelled.push((delivery, p.pings + 1));
+                    let asks = p.ask();
+                    self.world.send(pair, HostWord::Cancel(delivery));
+                    if asks {
+                        self.world.send(pair, HostWord::Ping);
+                    }
+                }
+            }
+            _ => {}
+        }
+        true
+    }
+
+    fn to_list(&mut self, message: ToList) -> bool {
+        let by = self.by();
+        let seat = &self.world.routers[self.router as usize];
+        if !seat.list_up {
+            return false;
+        }
+        let link = seat.list_link;
+        let have = if let ToList::Watch { have } = message { have } else { None };
+        self.world.ask_office(by, |by| What::ListAsk { by, link, have });
+        true
+    }
+
+    fn to_desk(&mut self, message: ToDesk) -> bool {
+        let by = self.by();
+        if let ToDesk::Vote { ballot, build, stage, verdict } = message {
+            let verdict = match verdict {
+                BallotVerdict::None => Verdict::None,
+                BallotVerdict::On => Verdict::On,
+                BallotVerdict::Hold => Verdict::Hold,
+                BallotVerdict::Back => Verdict::Back,
+            };
+            self.world.ask_office(by, |by| What::VoteAt { by, ballot, build, stage, verdict });
+        }
+        true
+    }
+
+    fn to_routers(&mut self, router: Option<u32>, text: &[u8]) {
+        let from = self.router;
+        let own = self.world.routers[from as usize].site;
+        let text = Rc::new(text.to_vec());
+        let to = match router {
+            Some(router) => router..router + 1,
+            None => 0..self.world.day.routers,
+        };
+        for router in to.filter(|r| *r != from) {
+            let Some(seat) = self.world.routers.get(router as usize) else { continue };
+            let (by, site) = (seat.process, seat.site);
+            // What meets a cut is not kept: old evidence is no evidence.
+            if let Some(way) = self.world.faults.way(own, site, Way::Hosts) {
+                let text = text.clone();
+                self.world.plan(way.max(LOCAL_WAY), What::Told { by, from, text });
+            }
+        }
+    }
+
+    fn host_open(&mut self, host: HostId, _address: &str, incarnation: u64) {
+        if let Some(pair) = self.pair(host) {
+            let p = &mut self.world.pairs[pair];
+            (p.open, p.incarnation) = (true, incarnation);
+        }
+    }
+
+    fn host_closed(&mut self, host: HostId, gone: bool) {
+        let Some(pair) = self.pair(host) else { return };
+        let p = &mut self.world.pairs[pair];
+        p.open = false;
+        let unsent = std::mem::take(&mut p.waiting);
+        if gone && p.idle() && p.link == Link::Up {
+            p.drop_link();
+        }
+        self.world.lose(pair, unsent.into_iter().map(|w| w.delivery), NoAnswer::NotSent);
+    }
+}
+
+impl Wiring for Wires<'_> {
+    fn look(&self, host: HostId) -> Look {
+        let none = Look { up: false, work_before: 0.0, way: None, speed: 0.0, fails: 0.0, bears: false };
+        let Some(pair) = self.pair(host) else { return none };
+        let (seat, _) = self.world.ends_of(pair);
+        let seat = &self.world.seats[seat];
+        let Some(process) = seat.process.as_ref().filter(|p| !p.model.fallen) else { return none };
+        let (model, now) = (&process.model, self.world.now);
+        Look {
+            up: !model.ailment.hangs,
+            work_before: model.work_before(now),
+            way: self.world.way(pair),
+            speed: model.speed * model.warmth(now) / (model.ailment.slower * model.ailment.drag),
+            fails: model.ailment.fails,
+            bears: model.bears(now),
+        }
+    }
+
+    fn is_bad(&self, build: BuildId) -> bool {
+        self.world.day.builds.iter().any(|b| b.number == build.0 && b.flaw != Flaw::None)
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-emulator/src/world/release_controller.rs
@@ -0,0 +1,96 @@
+//! The release controller: which build is on trial, what routers hear of it, and their votes.
+
+use rand::RngExt;
+use spokeflow_engine::Input;
+use spokeflow_proto::{BallotResult, FromDesk, News, NewsStanding};
+use spokeflow_scenario::desk::{Counted, State, Verdict};
+use spokeflow_scenario::seen::{Process, Seen, Standing};
+
+use super::event::What;
+use super::{World, DESK_TICK};
+
+impl World {
+    pub(super) fn desk_tick(&mut self) {
+        self.plan(DESK_TICK, What::DeskTick);
+        if self.faults.stalled_desk {
+            return;
+        }
+        let mut orders = Vec::new();
+        let before = self.desk.state;
+        if let Some(next) = self.offers.first().filter(|b| self.now - self.start >= b.offered) {
+            if self.desk.offer(self.now, next.number, &mut orders) {
+                self.offers.remove(0);
+            }
+        }
+        self.desk.tick(self.now, &mut orders);
+        let state = self.desk.state;
+        if state != before {
+            let State { build, stage, standing, .. } = state;
+            self.note(Seen::Desk { build, stage, standing });
+        }
+        self.carry_out(orders);
+        for router in 0..self.routers.len() {
+            let seat = &self.routers[router];
+            if seat.brain.is_none()
+                || seat.told == Some(state) && self.now - seat.told_at < self.day.news_every
+            {
+                continue;
+            }
+            // A router that has just connected is told at once, changes some time after.
+            let first = seat.told.is_none();
+            let [least, most] = self.day.news_late;
+            let late = if first { 0 } else { self.rng.random_range(least..most) };
+            let seat = &mut self.routers[router];
+            let at = (self.now + late + self.faults.late_desk).max(seat.news_last);
+            (seat.told, seat.told_at, seat.news_last) = (Some(state), self.now, at);
+            let by = seat.process;
+            self.plan_at(at, What::NewsTo { by, state });
+        }
+    }
+
+    pub(super) fn news_to(&mut self, by: Process, state: State) {
+        if self.routers[by.router as usize].process != by {
+            return;
+        }
+        if self.faults.stalled_desk || self.office_cut(by) {
+            return self.blocked.push(What::NewsTo { by, state });
+        }
+        let State { build, stage, standing, cap, since } = state;
+        self.note(Seen::News { to: by, build, stage, standing, cap });
+        let standing = match standing {
+            Standing::OnTrial => NewsStanding::OnTrial,
+            Standing::GoingBack => NewsStanding::GoingBack,
+            Standing::Released => NewsStanding::Released,
+            Standing::Withdrawn => NewsStanding::Withdrawn,
+        };
+        let age_us = (self.now - since).max(0) as u64;
+        let news = News { build, stage, standing, cap: cap as f32, age_us };
+        self.give(by, Input::FromDesk(FromDesk::News(news)));
+    }
+
+    pub(super) fn vote_at(&mut self, by: Process, ballot: u64, build: u16, stage: u8, verdict: Verdict) {
+        if self.office_cut(by) {
+            return self.blocked.push(What::VoteAt { by, ballot, build, stage, verdict });
+        }
+        self.note(Seen::Voted { from: by, build, stage, verdict: format!("{verdict:?}") });
+        let result = if self.faults.refusing_desk {
+            BallotResult::Refused
+        } else {
+            // A desk that stands still loses some votes and answers none.
+            let counts = !self.faults.stalled_desk || self.rng.random_bool(0.5);
+            if !counts {
+                return;
+            }
+            let counted = self.desk.vote(self.now, by.router, build, stage, verdict);
+            if self.faults.stalled_desk {
+                return;
+            }
+            match counted {
+                Counted::Counted => BallotResult::Counted,
+                Counted::Moot => BallotResult::Moot,
+                Counted::TooMany => BallotResult::TooMany,
+            }
+        };
+        self.tell_router(by, |by| What::VotedTo { by, ballot, result });
+    }
+}
