--- a/crates/spokeflow-emulator/src/agreement.rs
+++ b/crates/spokeflow-emulator/src/agreement.rs
@@ -4,21 +4,27 @@
 //! every clock runs up to the told drift off. At each act of a router it is checked that no revision which it
 //! contradicts has been known for longer than one lease.
 
+mod event;
+mod faults;
+mod keepers;
+mod people;
+mod routers;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use spokeflow_agreed::wire::{Answer, Ask, ToKeeper};
-use spokeflow_agreed::{
-    Asked, Asker, Holder, Keeper, KeeperTerms, LeaseTerms, Offer, RevisionNo, Step, Values,
-};
+use spokeflow_agreed::{Asker, Holder, KeeperTerms, LeaseTerms, Offer};
 use spokeflow_core::Micros;
-use spokeflow_quorum::{KeeperId, Message, QuorumTerms, Saved, Write};
+use spokeflow_quorum::{KeeperId, QuorumTerms, Saved};
+
+use self::event::What;
+use self::keepers::Seat;
+use self::routers::Router;
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000 * MS;
-const PATIENCE: Micros = 500 * MS;
 /// How often a router acts.
 const ACTS: Micros = 50 * MS;
 
@@ -54,91 +60,6 @@
     pub kept_state: usize,
 }
 
-/// Whom an answer goes to, as the number of a connection: a keeper that passed on, a router's process, a person.
-const PERSON: u64 = 0;
-
-fn router_conn(router: usize, start: u32) -> u64 {
-    1 | (router as u64) << 1 | u64::from(start) << 32
-}
-
-fn keeper_conn(keeper: usize, start: u32) -> u64 {
-    2 | (keeper as u64) << 2 | u64::from(start) << 32 | 1 << 63
-}
-
-enum What {
-    /// Also of a process that is dead by now.
-    Quorum {
-        to: usize,
-        from: usize,
-        message: Message,
-    },
-    Asks {
-        to: usize,
-        conn: u64,
-        number: u64,
-        ask: Ask,
-    },
-    Answers {
-        conn: u64,
-        number: u64,
-        answer: Answer,
-    },
-    Synced {
-        keeper: usize,
-        start: u32,
-        write: Box<Write>,
-    },
-    Wake {
-        keeper: usize,
-        start: u32,
-    },
-    RouterAsks {
-        router: usize,
-        start: u32,
-    },
-    Acts {
-        router: usize,
-        start: u32,
-    },
-    Offers,
-    Fault,
-    Mend(u64),
-    KeeperGoes {
-        keeper: usize,
-        start: u32,
-    },
-    RouterGoes {
-        router: usize,
-        start: u32,
-    },
-    Start {
-        keeper: usize,
-    },
-    Change,
-}
-
-struct Seat {
-    core: Option<Keeper>,
-    start: u32,
-    disk: Saved,
-    wrote: u64,
-    stopped: bool,
-    kept: Vec<What>,
-    rate: f64,
-    /// For which instant its wake-up is planned.
-    wakes: Micros,
-}
-
-struct Router {
-    holder: Holder,
-    start: u32,
-    stopped: bool,
-    kept: Vec<What>,
-    rate: f64,
-    keeper: usize,
-    answered: Micros,
-}
-
 struct World {
     day: AgreementDay,
     terms: KeeperTerms,
@@ -258,96 +179,6 @@
         (self.now as f64 * rate) as Micros
     }
 
-    fn start(&mut self, n: usize) {
-        let now = self.clock(self.seats[n].rate);
-        let seed = self.chance.random();
-        let own = KeeperId(n as u32);
-        let mut terms = KeeperTerms { own, ..self.terms.clone() };
-        if n >= self.day.keepers as usize {
-            terms.quorum.members.clear();
-        }
-        let seat = &mut self.seats[n];
-        seat.start += 1;
-        (seat.stopped, seat.wrote, seat.wakes) = (false, 0, Micros::MAX);
-        seat.kept.clear();
-        match Keeper::new(terms, seed, seat.disk.clone(), now) {
-            Ok(core) => seat.core = Some(core),
-            Err(what) => self.played.broken = Some(format!("keeper {n} does not start: {what}")),
-        }
-        self.wake(n);
-    }
-
-    fn wake(&mut self, n: usize) {
-        let seat = &self.seats[n];
-        let Some(core) = &seat.core else { return };
-        let now = self.clock(seat.rate);
-        let after = ((core.next_wake(now) - now).max(0) as f64 / seat.rate) as Micros + 1;
-        // One that is planned for sooner plans the next by itself.
-        if seat.wakes <= self.now + after && seat.wakes > self.now {
-            return;
-        }
-        let start = seat.start;
-        self.seats[n].wakes = self.now + after;
-        self.plan(after, What::Wake { keeper: n, start });
-    }
-
-    fn call(&mut self, n: usize, act: impl FnOnce(&mut Keeper, Micros, &mut Step)) {
-        let now = self.clock(self.seats[n].rate);
-        let mut step = Step::default();
-        let Some(core) = &mut self.seats[n].core else { return };
-        act(core, now, &mut step);
-        let start = self.seats[n].start;
-        if step.changed {
-            let ledger = self.seats[n].core.as_ref().map(Keeper::ledger);
-            let known = ledger.map(|l| (l.newest().0, l.in_force.number.0)).unwrap_or_default();
-            for r in 1..=known.0 {
-                self.told.entry(r).or_insert(self.now);
-            }
-            for r in 1..=known.1 {
-                self.forced.entry(r).or_insert(self.now);
-            }
-        }
-        for write in step.writes {
-            let after = self.chance.random_range(MS..if self.day.faulty { 20 * MS } else { 3 * MS });
-            self.plan(after, What::Synced { keeper: n, start, write: Box::new(write) });
-        }
-        for (to, message) in step.to_keepers {
-            let to = to.0 as usize;
-            match message {
-                ToKeeper::Ask { number, ask } => {
-                    let conn = keeper_conn(n, start);
-                    self.send(n, to, || What::Asks { to, conn, number, ask: ask.clone() });
-                }
-                ToKeeper::Hello { .. } => {}
-                ToKeeper::Quorum(message) => {
-                    self.send(n, to, || What::Quorum { to, from: n, message: message.clone() });
-                }
-            }
-        }
-        for (conn, number, answer) in step.answers {
-            self.answer(n, conn, number, answer);
-        }
-        self.wake(n);
-    }
-
-    fn answer(&mut self, from: usize, conn: u64, number: u64, answer: Answer) {
-        if conn == PERSON {
-            // At once: when a person hears of it says nothing of the routers.
-            return self.heard_by_person(answer);
-        }
-        let to = match conn >> 63 {
-            1 => (conn as u32 >> 2) as usize,
-            _ => self.seats.len() + (conn as u32 >> 1) as usize,
-        };
-        self.send(from, to, || What::Answers { conn, number, answer: answer.clone() });
-    }
-
-    fn heard_by_person(&mut self, answer: Answer) {
-        if matches!(answer, Answer::Offered(_) | Answer::Bad(_)) {
-            self.offer = None;
-        }
-    }
-
     /// `from` and `to` count keepers first, then routers.
     fn send(&mut self, from: usize, to: usize, what: impl Fn() -> What) {
         let faulty = self.day.faulty;
@@ -437,180 +268,4 @@
             _ => {}
         }
     }
-
-    fn synced(&mut self, keeper: usize, start: u32, write: Box<Write>) {
-        let seat = &mut self.seats[keeper];
-        if start != seat.start || seat.core.is_none() {
-            return;
-        }
-        if write.number != seat.wrote + 1 {
-            return self.plan(MS, What::Synced { keeper, start, write });
-        }
-        seat.disk.apply(&write);
-        seat.wrote = write.number;
-        self.call(keeper, |k, now, step| k.synced(now, write.number, step));
-    }
-
-    fn router_asks(&mut self, router: usize) {
-        let now = self.clock(self.routers[router].rate);
-        let waited = self.now - self.routers[router].answered;
-        let (n, many) = (self.seats.len(), self.seats.len());
-        let r = &mut self.routers[router];
-        if waited > r.holder.every() + PATIENCE {
-            (r.keeper, r.answered) = ((r.keeper + 1) % many, self.now);
-        }
-        let (number, asked): (u64, Asked) = r.holder.ask(now);
-        let (to, start, every) = (r.keeper, r.start, (r.holder.every() as f64 / r.rate) as Micros);
-        let conn = router_conn(router, start);
-        self.send(n + router, to, || What::Asks { to, conn, number, ask: Ask::Lease(asked.clone()) });
-        self.plan(every, What::RouterAsks { router, start });
-    }
-
-    fn answered(&mut self, conn: u64, number: u64, answer: Answer) {
-        let router = (conn as u32 >> 1) as usize;
-        let many = self.seats.len();
-        let r = &mut self.routers[router];
-        if r.start != (conn >> 32) as u32 {
-            return;
-        }
-        match answer {
-            Answer::Granted(grant) => {
-                self.played.grants += 1;
-                r.answered = self.now;
-                if r.holder.granted(number, *grant) {
-                    let newest = r.holder.newest();
-                    r.holder.acts_on(newest);
-                }
-            }
-            _ => (r.keeper, r.answered) = ((r.keeper + 1) % many, self.now),
-        }
-    }
-
-    /// What must hold at each act under a lease.
-    fn acts(&mut self, router: usize) {
-        let r = &self.routers[router];
-        let now = self.clock(r.rate);
-        if r.holder.until().is_none_or(|until| now >= until) {
-            self.played.unleased += 1;
-            return;
-        }
-        self.played.leased += 1;
-        let (in_force, newest) = (r.holder.in_force().number.0, r.holder.newest().0);
-        let unknown = self.told.range(newest + 1..).next().map(|(n, at)| (*n, *at, "is known of"));
-        let unforced = self.forced.range(in_force + 1..).next().map(|(n, at)| (*n, *at, "is in force"));
-        for (revision, at, how) in unknown.into_iter().chain(unforced) {
-            let since = self.now - at;
-            self.played.longest_contradiction = self.played.longest_contradiction.max(since);
-            if since > self.day.lease {
-                let what = format!(
-                    "router {router} acts on {in_force}/{newest}, and revision {revision} {how} for {since} us"
-                );
-                self.played.broken.get_or_insert(what);
-            }
-        }
-        if self.forced.range(newest + 1..).next().is_some() {
-            let what = format!("router {router} acts on {newest} and has not heard of one that is in force");
-            self.played.broken.get_or_insert(what);
-        }
-    }
-
-    fn offers(&mut self) {
-        let after = self.chance.random_range(300 * MS..2 * SECOND);
-        self.plan(after, What::Offers);
-        let newest = self.told.last_key_value().map_or(0, |t| *t.0);
-        // One that was not clear is offered again, as it was.
-        let offer = self.offer.take().unwrap_or_else(|| {
-            let stale = self.chance.random_bool(0.1);
-            let against = RevisionNo(if stale { newest.saturating_sub(1) } else { newest });
-            let token = self.chance.random();
-            let (who, why) = ("p".to_string(), String::new());
-            Offer { token, against, who, why, at_s: 0, values: Values::new() }
-        });
-        self.offer = Some(offer.clone());
-        let to = self.chance.random_range(0..self.seats.len());
-        let asker = Asker { conn: PERSON, number: 0, keeper: false };
-        if !self.seats[to].stopped {
-            self.call(to, |k, now, step| k.asked(now, asker, Ask::Offer(offer), step));
-        }
-    }
-
-    /// Takes a spare keeper in, or one out.
-    fn change(&mut self) {
-        let after = self.chance.random_range(SECOND..4 * SECOND);
-        self.plan(after, What::Change);
-        let drawn = KeeperId(self.chance.random_range(0..self.seats.len() as u32));
-        for n in 0..self.seats.len() {
-            let Some(core) = self.seats[n].core.as_ref().filter(|_| !self.seats[n].stopped) else { continue };
-            let mut members = core.member().members().to_vec();
-            if !members.contains(&drawn) && members.len() < self.day.keepers as usize + 1 {
-                members.push(drawn);
-            } else if members.len() > self.day.keepers as usize {
-                members.retain(|m| *m != drawn);
-            }
-            let leads = core.member().speaks(self.clock(self.seats[n].rate));
-            if leads {
-                let asker = Asker { conn: PERSON, number: 0, keeper: false };
-                self.call(n, |k, now, step| k.asked(now, asker, Ask::Members(members), step));
-            }
-        }
-    }
-
-    fn fault(&mut self) {
-        let next = self.chance.random_range(200 * MS..2500 * MS);
-        self.plan(next, What::Fault);
-        self.played.faults += 1;
-        let lasts = self.chance.random_range(100 * MS..self.day.lease * 2);
-        let (k, many) = (self.chance.random_range(0..self.seats.len()), self.seats.len());
-        let r = self.chance.random_range(0..self.routers.len());
-        match self.chance.random_range(0..9) {
-            0 | 1 => {
-                self.seats[k].core = None;
-                self.seats[k].stopped = false;
-                self.plan(lasts, What::Start { keeper: k });
-            }
-            2 => {
-                self.seats[k].stopped = true;
-                let start = self.seats[k].start;
-                self.plan(lasts, What::KeeperGoes { keeper: k, start });
-            }
-            3 => {
-                self.routers[r].stopped = true;
-                let start = self.routers[r].start;
-                self.plan(lasts, What::RouterGoes { router: r, start });
-            }
-            4 => {
-                let process = self.chance.random();
-                let router = &mut self.routers[r];
-                router.start += 1;
-                (router.stopped, router.answered) = (false, self.now);
-                router.kept.clear();
-                router.holder = Holder::new(self.terms.lease, process, r as u32);
-                let start = router.start;
-                self.plan(lasts, What::RouterAsks { router: r, start });
-                self.plan(lasts, What::Acts { router: r, start });
-            }
-            5 if self.chance.random_bool(0.2) => {
-                for n in 0..many {
-                    (self.seats[n].core, self.seats[n].stopped) = (None, false);
-                    let apart = self.chance.random_range(0..SECOND);
-                    self.plan(lasts + apart, What::Start { keeper: n });
-                }
-            }
-            kind => {
-                let cut = self.planned;
-                let router = kind > 6;
-                let one = if router { many + r } else { k };
-                for other in (0..many).filter(|o| *o != one) {
-                    match kind {
-                        // Alone; not heard; some of the ways.
-                        5 | 7 => self.cuts.extend([(cut, one, other), (cut, other, one)]),
-                        6 => self.cuts.push((cut, one, other)),
-                        _ if self.chance.random_bool(0.5) => self.cuts.push((cut, one, other)),
-                        _ => {}
-                    }
-                }
-                self.plan(lasts, What::Mend(cut));
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/spokeflow-emulator/src/agreement/people.rs
@@ -0,0 +1,52 @@
+//! What people do: they offer revisions, and take keepers in and out.
+
+use rand::RngExt;
+use spokeflow_agreed::wire::Ask;
+use spokeflow_agreed::{Asker, Offer, RevisionNo, Values};
+use spokeflow_quorum::KeeperId;
+
+use super::event::{What, PERSON};
+use super::{World, MS, SECOND};
+
+impl World {
+    pub(super) fn offers(&mut self) {
+        let after = self.chance.random_range(300 * MS..2 * SECOND);
+        self.plan(after, What::Offers);
+        let newest = self.told.last_key_value().map_or(0, |t| *t.0);
+        // One that was not clear is offered again, as it was.
+        let offer = self.offer.take().unwrap_or_else(|| {
+            let stale = self.chance.random_bool(0.1);
+            let against = RevisionNo(if stale { newest.saturating_sub(1) } else { newest });
+            let token = self.chance.random();
+            let (who, why) = ("p".to_string(), String::new());
+            Offer { token, against, who, why, at_s: 0, values: Values::new() }
+        });
+        self.offer = Some(offer.clone());
+        let to = self.chance.random_range(0..self.seats.len());
+        let asker = Asker { conn: PERSON, number: 0, keeper: false };
+        if !self.seats[to].stopped {
+            self.call(to, |k, now, step| k.asked(now, asker, Ask::Offer(offer), step));
+        }
+    }
+
+    /// Takes a spare keeper in, or one out.
+    pub(super) fn change(&mut self) {
+        let after = self.chance.random_range(SECOND..4 * SECOND);
+        self.plan(after, What::Change);
+        let drawn = KeeperId(self.chance.random_range(0..self.seats.len() as u32));
+        for n in 0..self.seats.len() {
+            let Some(core) = self.seats[n].core.as_ref().filter(|_| !self.seats[n].stopped) else { continue };
+            let mut members = core.member().members().to_vec();
+            if !members.contains(&drawn) && members.len() < self.day.keepers as usize + 1 {
+                members.push(drawn);
+            } else if members.len() > self.day.keepers as usize {
+                members.retain(|m| *m != drawn);
+            }
+            let leads = core.member().speaks(self.clock(self.seats[n].rate));
+            if leads {
+                let asker = Asker { conn: PERSON, number: 0, keeper: false };
+                self.call(n, |k, now, step| k.asked(now, asker, Ask::Members(members), step));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-emulator/src/agreement/routers.rs
@@ -0,0 +1,85 @@
+//! Routers: they ask for leases, and act. What must hold is checked at each act.
+
+use spokeflow_agreed::wire::{Answer, Ask};
+use spokeflow_agreed::{Asked, Holder};
+use spokeflow_core::Micros;
+
+use super::event::{router_conn, What};
+use super::{World, MS};
+
+const PATIENCE: Micros = 500 * MS;
+
+pub(super) struct Router {
+    pub(super) holder: Holder,
+    pub(super) start: u32,
+    pub(super) stopped: bool,
+    pub(super) kept: Vec<What>,
+    pub(super) rate: f64,
+    pub(super) keeper: usize,
+    pub(super) answered: Micros,
+}
+
+impl World {
+    pub(super) fn router_asks(&mut self, router: usize) {
+        let now = self.clock(self.routers[router].rate);
+        let waited = self.now - self.routers[router].answered;
+        let (n, many) = (self.seats.len(), self.seats.len());
+        let r = &mut self.routers[router];
+        if waited > r.holder.every() + PATIENCE {
+            (r.keeper, r.answered) = ((r.keeper + 1) % many, self.now);
+        }
+        let (number, asked): (u64, Asked) = r.holder.ask(now);
+        let (to, start, every) = (r.keeper, r.start, (r.holder.every() as f64 / r.rate) as Micros);
+        let conn = router_conn(router, start);
+        self.send(n + router, to, || What::Asks { to, conn, number, ask: Ask::Lease(asked.clone()) });
+        self.plan(every, What::RouterAsks { router, start });
+    }
+
+    pub(super) fn answered(&mut self, conn: u64, number: u64, answer: Answer) {
+        let router = (conn as u32 >> 1) as usize;
+        let many = self.seats.len();
+        let r = &mut self.routers[router];
+        if r.start != (conn >> 32) as u32 {
+            return;
+        }
+        match answer {
+            Answer::Granted(grant) => {
+                self.played.grants += 1;
+                r.answered = self.now;
+                if r.holder.granted(number, *grant) {
+                    let newest = r.holder.newest();
+                    r.holder.acts_on(newest);
+                }
+            }
+            _ => (r.keeper, r.answered) = ((r.keeper + 1) % many, self.now),
+        }
+    }
+
+    /// What must hold at each act under a lease.
+    pub(super) fn acts(&mut self, router: usize) {
+        let r = &self.routers[router];
+        let now = self.clock(r.rate);
+        if r.holder.until().is_none_or(|until| now >= until) {
+            self.played.unleased += 1;
+            return;
+        }
+        self.played.leased += 1;
+        let (in_force, newest) = (r.holder.in_force().number.0, r.holder.newest().0);
+        let unknown = self.told.range(newest + 1..).next().map(|(n, at)| (*n, *at, "is known of"));
+        let unforced = self.forced.range(in_force + 1..).next().map(|(n, at)| (*n, *at, "is in force"));
+        for (revision, at, how) in unknown.into_iter().chain(unforced) {
+            let since = self.now - at;
+            self.played.longest_contradiction = self.played.longest_contradiction.max(since);
+            if since > self.day.lease {
+                let what = format!(
+                    "router {router} acts on {in_force}/{newest}, and revision {revision} {how} for {since} us"
+                );
+                self.played.broken.get_or_insert(what);
+            }
+        }
+        if self.forced.range(newest + 1..).next().is_some() {
+            let what = format!("router {router} acts on {newest} and has not heard of one that is in force");
+            self.played.broken.get_or_insert(what);
+        }
+    }
+}
