Names: a router's side of a lease is the LeaseHolder

Change: Holder is LeaseHolder (src/lease_holder.rs), the fields that hold one are lease_holder, the bound on kept leases is LEASES_AT_MOST; docs follow.

--- a/crates/spokeflow-agreed/src/granter.rs
+++ b/crates/spokeflow-agreed/src/granter.rs
@@ -7,7 +7,7 @@
 use crate::{Asked, LeaseTerms, Ledger, ListPart, Revision, RevisionNo};
 
 /// Routers whose leases are kept in mind; beyond, an announced revision waits for time alone.
-const HOLDERS: usize = 8192;
+const LEASES_AT_MOST: usize = 8192;
 
 /// A revision, whole where the router does not have it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,7 +57,7 @@
         self.leases.remove_expired(now);
         let until = now + self.terms.waits();
         let known = self.leases.acts_on(asked.process).unwrap_or(RevisionNo(0));
-        if known == RevisionNo(0) && self.leases.len() >= HOLDERS {
+        if known == RevisionNo(0) && self.leases.len() >= LEASES_AT_MOST {
             self.over = true;
         } else {
             // Messages overtake each other: what a router has once said it acts on stays said.
--- a/crates/spokeflow-agreed/src/holder.rs
+++ b/crates/spokeflow-agreed/src/lease_holder.rs
@@ -28,7 +28,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Holder {
+pub struct LeaseHolder {
     terms: LeaseTerms,
     process: u64,
     router: u32,
@@ -43,13 +43,26 @@
     news: Option<ListPart>,
 }
 
-impl Holder {
+impl LeaseHolder {
     pub fn new(terms: LeaseTerms, process: u64, router: u32) -> Self {
         let (asked, in_force) = (VecDeque::new(), Revision::default());
         let (next, until, announced, acts_on) = (0, None, None, RevisionNo(0));
         let seats = Seats::default();
         let (list, news) = (None, None);
-        Holder { terms, process, router, asked, next, until, in_force, announced, acts_on, seats, list, news }
+        LeaseHolder {
+            terms,
+            process,
+            router,
+            asked,
+            next,
+            until,
+            in_force,
+            announced,
+            acts_on,
+            seats,
+            list,
+            news,
+        }
     }
 
     /// Wants the list as well, from now on.
--- a/crates/spokeflow-agreed/src/terms.rs
+++ b/crates/spokeflow-agreed/src/terms.rs
@@ -12,7 +12,7 @@
 }
 
 impl LeaseTerms {
-    /// By the holder's own clock, from the sending of its request: no longer than the lease though it run slow.
+    /// By the lease holder's own clock, from the sending of its request: no longer than the lease though it run slow.
     pub fn held(&self) -> Micros {
         (self.lease as f64 * (1.0 - self.drift)) as Micros
     }
--- a/crates/spokeflow-agreed/tests/granter.rs
+++ b/crates/spokeflow-agreed/tests/granter.rs
@@ -11,7 +11,7 @@
 const SECOND: Micros = 1_000_000;
 const TERMS: LeaseTerms = LeaseTerms { lease: 2 * SECOND, drift: 0.01 };
 /// Leases that a granter keeps at most.
-const HOLDERS: usize = 8192;
+const LEASES_AT_MOST: usize = 8192;
 
 #[derive(Clone, Copy)]
 struct Lease {
@@ -35,7 +35,7 @@
     fn ask(&mut self, now: Micros, asked: &Asked) {
         self.leases.retain(|_, lease| lease.until > now);
         let known = self.leases.get(&asked.process).map_or(RevisionNo(0), |lease| lease.acts_on);
-        if known == RevisionNo(0) && self.leases.len() >= HOLDERS {
+        if known == RevisionNo(0) && self.leases.len() >= LEASES_AT_MOST {
             self.over = true;
             return;
         }
@@ -188,19 +188,19 @@
 #[test]
 fn more_routers_than_are_kept_leave_time_alone() {
     let mut run = Run::new(1);
-    (0..HOLDERS as u64).for_each(|process| run.ask(process, RevisionNo(0)));
+    (0..LEASES_AT_MOST as u64).for_each(|process| run.ask(process, RevisionNo(0)));
     run.compare();
     run.now += TERMS.waits() - 1;
     // One that is known has its place, and so has nobody else, not even by asking again.
     run.ask(0, RevisionNo(0));
-    run.ask(HOLDERS as u64, RevisionNo(0));
+    run.ask(LEASES_AT_MOST as u64, RevisionNo(0));
     run.compare();
     // The place of one whose lease is over is free.
     run.now += 1;
-    run.ask(HOLDERS as u64, RevisionNo(0));
+    run.ask(LEASES_AT_MOST as u64, RevisionNo(0));
     run.compare();
     run.announce();
-    run.ask(HOLDERS as u64, RevisionNo(1));
+    run.ask(LEASES_AT_MOST as u64, RevisionNo(1));
     run.compare();
     run.look();
     run.now += TERMS.waits();
--- a/crates/spokeflow-agreed/tests/leases.rs
+++ b/crates/spokeflow-agreed/tests/leases.rs
@@ -14,7 +14,7 @@
 const TERMS: LeaseTerms = LeaseTerms { lease: 2 * SECOND, drift: 0.01 };
 
 struct Router {
-    holder: Holder,
+    holder: LeaseHolder,
     rate: f64,
     stopped_until: Micros,
     ask_at: Micros,
@@ -45,7 +45,7 @@
     fn new(seed: u64) -> World {
         let mut chance = StdRng::seed_from_u64(seed);
         let routers = (0..8).map(|n| Router {
-            holder: Holder::new(TERMS, n, n as u32),
+            holder: LeaseHolder::new(TERMS, n, n as u32),
             rate: chance.random_range(0.99..=1.01),
             stopped_until: 0,
             ask_at: 0,
@@ -129,7 +129,7 @@
             if self.chance.random_bool(0.0005) {
                 let process = self.chance.random();
                 let r = &mut self.routers[n];
-                (r.holder, r.process) = (Holder::new(TERMS, process, n as u32), process);
+                (r.holder, r.process) = (LeaseHolder::new(TERMS, process, n as u32), process);
             }
             let r = &mut self.routers[n];
             let now = (self.now as f64 * r.rate) as Micros;
@@ -220,7 +220,7 @@
 
 #[test]
 fn an_answer_gives_no_more_than_from_its_asking_and_takes_nothing_back() {
-    let (mut holder, mut ledger) = (Holder::new(TERMS, 1, 0), Ledger::default());
+    let (mut holder, mut ledger) = (LeaseHolder::new(TERMS, 1, 0), Ledger::default());
     let mut granter = Granter::new(TERMS, 0);
     let (first, asked) = holder.ask(0);
     let early = granter.ask(0, &asked, &ledger, &Seats::default());
@@ -245,7 +245,7 @@
 /// The request sent first arrives last: its answer knows of more, and comes first.
 #[test]
 fn an_answer_that_knows_of_less_is_not_taken_in_though_its_lease_is_longer() {
-    let (mut holder, mut ledger) = (Holder::new(TERMS, 1, 0), Ledger::default());
+    let (mut holder, mut ledger) = (LeaseHolder::new(TERMS, 1, 0), Ledger::default());
     let mut granter = Granter::new(TERMS, 0);
     let (first, asked_first) = holder.ask(0);
     let (second, asked_second) = holder.ask(1);
--- a/crates/spokeflow-agreed/tests/search.rs
+++ b/crates/spokeflow-agreed/tests/search.rs
@@ -43,7 +43,7 @@
     keepers: Vec<Keeper>,
     disks: Vec<Saved>,
     unsynced: Vec<VecDeque<Write>>,
-    holders: Vec<Holder>,
+    holders: Vec<LeaseHolder>,
     wire: Vec<Message>,
     left: Left,
     told: BTreeMap<u64, Micros>,
@@ -70,7 +70,7 @@
 impl World {
     fn new() -> World {
         let keeper = |n| Keeper::new(terms(n), n as u64, Saved::default(), 0).unwrap();
-        let holder = |n| Holder::new(LeaseTerms { lease: LEASE, drift: 0.0 }, n as u64 + 1, n as u32);
+        let holder = |n| LeaseHolder::new(LeaseTerms { lease: LEASE, drift: 0.0 }, n as u64 + 1, n as u32);
         World {
             now: 0,
             keepers: (0..KEEPERS).map(keeper).collect(),
--- a/crates/spokeflow-emulator/src/agreement.rs
+++ b/crates/spokeflow-emulator/src/agreement.rs
@@ -15,7 +15,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use spokeflow_agreed::{Asker, Holder, KeeperTerms, LeaseTerms, Offer};
+use spokeflow_agreed::{Asker, KeeperTerms, LeaseHolder, LeaseTerms, Offer};
 use spokeflow_core::Micros;
 use spokeflow_quorum::{KeeperId, QuorumTerms, Saved};
 
@@ -104,7 +104,7 @@
     });
     let seats: Vec<Seat> = seats.collect();
     let routers = (0..day.routers).map(|n| Router {
-        holder: Holder::new(terms.lease, u64::from(n), n),
+        lease_holder: LeaseHolder::new(terms.lease, u64::from(n), n),
         start: 0,
         stopped: false,
         kept: Vec::new(),
--- a/crates/spokeflow-emulator/src/agreement/faults.rs
+++ b/crates/spokeflow-emulator/src/agreement/faults.rs
@@ -1,7 +1,7 @@
 //! Drawn faults: processes that are killed or stopped, and ways that are cut.
 
 use rand::RngExt;
-use spokeflow_agreed::Holder;
+use spokeflow_agreed::LeaseHolder;
 
 use super::event::What;
 use super::{World, MS, SECOND};
@@ -36,7 +36,7 @@
                 router.start += 1;
                 (router.stopped, router.answered) = (false, self.now);
                 router.kept.clear();
-                router.holder = Holder::new(self.terms.lease, process, r as u32);
+                router.lease_holder = LeaseHolder::new(self.terms.lease, process, r as u32);
                 let start = router.start;
                 self.plan(lasts, What::RouterAsks { router: r, start });
                 self.plan(lasts, What::Acts { router: r, start });
--- a/crates/spokeflow-emulator/src/agreement/routers.rs
+++ b/crates/spokeflow-emulator/src/agreement/routers.rs
@@ -1,7 +1,7 @@
 //! Routers: they ask for leases, and act. What must hold is checked at each act.
 
 use spokeflow_agreed::wire::{Answer, Ask};
-use spokeflow_agreed::{Asked, Holder};
+use spokeflow_agreed::{Asked, LeaseHolder};
 use spokeflow_core::Micros;
 
 use super::event::{router_conn, What};
@@ -10,7 +10,7 @@
 const PATIENCE: Micros = 500 * MS;
 
 pub(super) struct Router {
-    pub(super) holder: Holder,
+    pub(super) lease_holder: LeaseHolder,
     pub(super) start: u32,
     pub(super) stopped: bool,
     pub(super) kept: Vec<What>,
@@ -25,11 +25,11 @@
         let waited = self.now - self.routers[router].answered;
         let (n, many) = (self.seats.len(), self.seats.len());
         let r = &mut self.routers[router];
-        if waited > r.holder.every() + PATIENCE {
+        if waited > r.lease_holder.every() + PATIENCE {
             (r.keeper, r.answered) = ((r.keeper + 1) % many, self.now);
         }
-        let (number, asked): (u64, Asked) = r.holder.ask(now);
-        let (to, start, every) = (r.keeper, r.start, (r.holder.every() as f64 / r.rate) as Micros);
+        let (number, asked): (u64, Asked) = r.lease_holder.ask(now);
+        let (to, start, every) = (r.keeper, r.start, (r.lease_holder.every() as f64 / r.rate) as Micros);
         let conn = router_conn(router, start);
         self.send(n + router, to, || What::Asks { to, conn, number, ask: Ask::Lease(asked.clone()) });
         self.plan(every, What::RouterAsks { router, start });
@@ -46,9 +46,9 @@
             Answer::Granted(grant) => {
                 self.played.grants += 1;
                 r.answered = self.now;
-                if r.holder.granted(number, *grant) {
-                    let newest = r.holder.newest();
-                    r.holder.acts_on(newest);
+                if r.lease_holder.granted(number, *grant) {
+                    let newest = r.lease_holder.newest();
+                    r.lease_holder.acts_on(newest);
                 }
             }
             _ => (r.keeper, r.answered) = ((r.keeper + 1) % many, self.now),
@@ -59,12 +59,12 @@
     pub(super) fn acts(&mut self, router: usize) {
         let r = &self.routers[router];
         let now = self.clock(r.rate);
-        if r.holder.until().is_none_or(|until| now >= until) {
+        if r.lease_holder.until().is_none_or(|until| now >= until) {
             self.played.unleased += 1;
             return;
         }
         self.played.leased += 1;
-        let (in_force, newest) = (r.holder.in_force().number.0, r.holder.newest().0);
+        let (in_force, newest) = (r.lease_holder.in_force().number.0, r.lease_holder.newest().0);
         let unknown = self.told.range(newest + 1..).next().map(|(n, at)| (*n, *at, "is known of"));
         let unforced = self.forced.range(in_force + 1..).next().map(|(n, at)| (*n, *at, "is in force"));
         for (revision, at, how) in unknown.into_iter().chain(unforced) {
--- a/crates/spokeflow-router/src/keepers.rs
+++ b/crates/spokeflow-router/src/keepers.rs
@@ -8,7 +8,7 @@
 use futures_util::{SinkExt, StreamExt};
 use rand::RngExt;
 use spokeflow_agreed::wire::{Answer, Ask, Caller, FromKeeper, ToKeeper, LIMIT};
-use spokeflow_agreed::{Holder, HostState, LeaseTerms, ListedHost, RevisionNo};
+use spokeflow_agreed::{HostState, LeaseHolder, LeaseTerms, ListedHost, RevisionNo};
 use spokeflow_core::Micros;
 use spokeflow_engine::Input;
 use spokeflow_platform::{Clock, Pauses};
@@ -35,7 +35,7 @@
     clock: Arc<Clock>,
     core: mpsc::Sender<Arrival>,
     applied: watch::Receiver<RevisionNo>,
-    holder: Option<Holder>,
+    lease_holder: Option<LeaseHolder>,
     /// The newest revision that does not fit this router: said once.
     misfit: RevisionNo,
 }
@@ -58,8 +58,8 @@
         let pauses = Pauses::new(seed, KEEPER_WAY, Duration::from_millis(50), Duration::from_millis(500));
         // Not from the seed: two processes with one seed must not be taken for one.
         let process = rand::rng().random();
-        let (terms, holder) = (terms.clone(), None);
-        KeeperLink { terms, process, pauses, clock, core, applied, holder, misfit: RevisionNo(0) }
+        let (terms, lease_holder) = (terms.clone(), None);
+        KeeperLink { terms, process, pauses, clock, core, applied, lease_holder, misfit: RevisionNo(0) }
     }
 
     pub async fn run(mut self) {
@@ -69,7 +69,7 @@
         loop {
             let keepers = self.keepers();
             let address = keepers[turn % keepers.len()];
-            let before = self.holder.as_ref().and_then(Holder::until);
+            let before = self.lease_holder.as_ref().and_then(LeaseHolder::until);
             let left = match timeout(PATIENCE, self.open(address)).await {
                 Ok(Some(link)) => self.talk(link).await,
                 _ => Left::For("not reached"),
@@ -78,7 +78,7 @@
                 Left::Ending => return,
                 Left::For(why) => why,
             };
-            let held = self.holder.as_ref().and_then(Holder::until);
+            let held = self.lease_holder.as_ref().and_then(LeaseHolder::until);
             failures = if held > before { 0 } else { failures + 1 };
             if let Some(kept_back) = self.clock.line() {
                 let left_us = held.map_or(0, |until| until - self.clock.now());
@@ -92,7 +92,7 @@
     /// Those that the flags name, and those that have been taken in since.
     fn keepers(&self) -> Vec<SocketAddr> {
         let mut all = self.terms.keepers.clone();
-        let told = self.holder.iter().flat_map(|h| h.seats()).filter_map(|a| a.parse().ok());
+        let told = self.lease_holder.iter().flat_map(|h| h.seats()).filter_map(|a| a.parse().ok());
         all.extend(told.filter(|a| !self.terms.keepers.contains(a)).collect::<Vec<_>>());
         all
     }
@@ -104,17 +104,20 @@
         link.send(ToKeeper::hello(Caller::Router { index: self.terms.index })).await.ok()?;
         let Some(Ok(FromKeeper::Welcome { common, .. })) = link.next().await else { return None };
         let terms = LeaseTerms { lease: common.lease_us as Micros, drift: common.drift };
-        if self.holder.is_none() {
+        if self.lease_holder.is_none() {
             info!(lease_us = common.lease_us, "follows keepers; longest contradiction is one lease");
-            let holder = Holder::new(terms, self.process, self.terms.index);
-            self.holder = Some(if self.terms.agreed_list { holder.wants_list() } else { holder });
+            let lease_holder = LeaseHolder::new(terms, self.process, self.terms.index);
+            self.lease_holder =
+                Some(if self.terms.agreed_list { lease_holder.wants_list() } else { lease_holder });
         }
         Some(link)
     }
 
     /// Asks for leases until the keeper gives none.
     async fn talk(&mut self, mut link: Link) -> Left {
-        let Some(every) = self.holder.as_ref().map(Holder::every) else { return Left::For("no lease terms") };
+        let Some(every) = self.lease_holder.as_ref().map(LeaseHolder::every) else {
+            return Left::For("no lease terms");
+        };
         let every = Duration::from_micros(every.max(1000) as u64);
         let mut ask_at = Instant::now();
         let mut unanswered: Option<Instant> = None;
@@ -122,8 +125,8 @@
             let give_up = unanswered.map_or(ask_at + every * 2, |since| since + PATIENCE);
             tokio::select! {
                 _ = tokio::time::sleep_until(ask_at) => {
-                    let Some(holder) = &mut self.holder else { return Left::For("no lease terms") };
-                    let (number, asked) = holder.ask(self.clock.now());
+                    let Some(lease_holder) = &mut self.lease_holder else { return Left::For("no lease terms") };
+                    let (number, asked) = lease_holder.ask(self.clock.now());
                     let ask = ToKeeper::Ask { number, ask: Ask::Lease(asked) };
                     if !matches!(timeout(PATIENCE, link.send(ask)).await, Ok(Ok(()))) {
                         return Left::For("does not read");
@@ -135,8 +138,8 @@
                 read = link.next() => match read {
                     Some(Ok(FromKeeper::Answer { number, answer: Answer::Granted(grant) })) => {
                         unanswered = None;
-                        let Some(holder) = &mut self.holder else { return Left::For("no lease terms") };
-                        if holder.granted(number, *grant) && !self.act().await {
+                        let Some(lease_holder) = &mut self.lease_holder else { return Left::For("no lease terms") };
+                        if lease_holder.granted(number, *grant) && !self.act().await {
                             return Left::Ending;
                         }
                     }
@@ -149,10 +152,10 @@
                         return Left::Ending;
                     }
                     let revision = *self.applied.borrow_and_update();
-                    if let Some(holder) = &mut self.holder {
+                    if let Some(lease_holder) = &mut self.lease_holder {
                         // Said at once: the revision comes into force the sooner.
-                        ask_at = if holder.announced().is_some() { Instant::now() } else { ask_at };
-                        holder.acts_on(revision);
+                        ask_at = if lease_holder.announced().is_some() { Instant::now() } else { ask_at };
+                        lease_holder.acts_on(revision);
                     }
                 }
             }
@@ -161,17 +164,17 @@
 
     /// Hands the engine what may be acted on. `false`: it is no more.
     async fn act(&mut self) -> bool {
-        let Some(holder) = &mut self.holder else { return true };
-        if let Some(part) = holder.list_news() {
+        let Some(lease_holder) = &mut self.lease_holder else { return true };
+        if let Some(part) = lease_holder.list_news() {
             let hosts = part.hosts.into_iter().map(line).collect();
             let list = Input::AgreedList { whole: part.whole, hosts };
             if self.core.send(Arrival::Input(list)).await.is_err() {
                 return false;
             }
         }
-        let Some(until) = holder.until() else { return true };
-        let revision = holder.newest();
-        match self.terms.agreed(holder.in_force(), holder.announced()) {
+        let Some(until) = lease_holder.until() else { return true };
+        let revision = lease_holder.newest();
+        match self.terms.agreed(lease_holder.in_force(), lease_holder.announced()) {
             Ok(terms) => {
                 let terms = Box::new(terms);
                 self.core.send(Arrival::Agreed { until, terms, revision }).await.is_ok()
