Core: where bounded hosts stand in the order is kept until a host changes

Cause: with a tenth of the hosts cold, each command looked up and sorted the places of all cold hosts.

Change: the hosts of a build whose deliveries are bounded keep their places from the first use after a change on.

--- a/crates/spokeflow-core/src/state/hosts.rs
+++ b/crates/spokeflow-core/src/state/hosts.rs
@@ -6,8 +6,8 @@
 use super::{Member, Pool, ReadyHosts, RecentStarts};
 use crate::{unit, BuildId, HostId, HostLine, HostPhase, Micros};
 
-/// Above this part of a pool's hosts, checking all of them costs less than looking up the doubtful ones.
-const MANY: usize = 8;
+/// Above one part of so many of a pool's hosts, checking all of them costs less than looking up the doubtful ones.
+const MANY: usize = 4;
 /// The age of a process that started before anyone can say.
 const LONG_AGO: Micros = Micros::MAX / 2;
 
@@ -92,7 +92,9 @@
             let size = self.line[h].size;
             self.ready.entry(self.build[h]).or_default().warm_up(size);
         }
-        while self.bounded.pop_over(now).is_some() {}
+        while let Some(h) = self.bounded.pop_over(now) {
+            self.ready.entry(self.build[h]).or_default().unbound(h);
+        }
         while self.young.pop_over(now).is_some() {}
     }
 
@@ -302,13 +304,14 @@
         self.line[h].phase == HostPhase::Ready
     }
 
-    fn member(&self, h: usize, warm: bool) -> Member {
+    fn member(&self, h: usize, warm: bool, bounded: bool) -> Member {
         Member {
             host: h,
             rank: self.rank[h],
             size: self.line[h].size,
             started: self.line[h].started.unwrap_or(0),
             warm,
+            bounded,
             heard: self.is_heard(h),
         }
     }
@@ -319,9 +322,9 @@
         }
         let (started, now) = (self.line[h].started, self.now);
         let warms = self.warming.insert(started, h, now);
-        self.bounded.insert(started, h, now);
+        let bounded = self.bounded.insert(started, h, now);
         self.young.insert(started, h, now);
-        let member = self.member(h, !warms);
+        let member = self.member(h, !warms, bounded);
         self.ready.entry(self.build[h]).or_default().join(member);
         self.ready_count += 1;
         self.note_trouble(h);
@@ -333,9 +336,9 @@
         }
         let started = self.line[h].started;
         let warms = self.warming.remove(started, h);
-        self.bounded.remove(started, h);
+        let bounded = self.bounded.remove(started, h);
         self.young.remove(started, h);
-        let member = self.member(h, !warms);
+        let member = self.member(h, !warms, bounded);
         if let Some(ready) = self.ready.get_mut(&self.build[h]) {
             ready.leave(member);
             if ready.is_empty() {
@@ -443,17 +446,18 @@
     /// have a strike, are shut, have been silent since before a time, or are named. Or all.
     pub fn doubt(&self, pool: &mut Pool, all: bool, silent: Micros, named: impl Iterator<Item = usize>) {
         let build = pool.build();
-        let here = |h: &usize| self.is_ready(*h) && self.build[*h] == build;
-        let doubtful = self.bounded().chain(self.troubled()).chain(self.silent_since(silent)).chain(named);
-        let few = if all { 0 } else { pool.len() / MANY };
-        let doubtful: Vec<usize> = doubtful.filter(here).take(few + 1).collect();
         let ready = self.ready_with(build);
-        if all || doubtful.len() > few {
+        let [by_index, by_rank] = ready.bounded_positions();
+        let few = if all { 0 } else { pool.len() / MANY };
+        let here = |h: &usize| self.is_ready(*h) && self.build[*h] == build;
+        let others = self.troubled().chain(self.silent_since(silent)).chain(named).filter(here);
+        let others: Vec<usize> = others.take(few + 1).collect();
+        if all || others.len() > few {
             pool.doubt_all();
         } else if pool.is_ordered_as(ready.by_index()) {
-            pool.doubt(doubtful.into_iter().filter_map(|h| ready.index_position(h)));
+            pool.doubt(by_index, others.into_iter().filter_map(|h| ready.index_position(h)));
         } else if pool.is_ordered_as(ready.by_rank()) {
-            pool.doubt(doubtful.into_iter().map(|h| ready.rank_position(self.rank[h], h)));
+            pool.doubt(by_rank, others.into_iter().map(|h| ready.rank_position(self.rank[h], h)));
         } else {
             pool.doubt_all();
         }
--- a/crates/spokeflow-core/src/state/pool.rs
+++ b/crates/spokeflow-core/src/state/pool.rs
@@ -40,12 +40,18 @@
         Arc::ptr_eq(&self.order, order)
     }
 
-    /// Makes the hosts at these positions doubtful; those beyond the pool are left aside.
-    pub fn doubt(&mut self, positions: impl Iterator<Item = usize>) {
+    /// Makes the hosts at these positions doubtful, of which the known ones are ascending. Positions beyond the pool
+    /// are left aside.
+    pub fn doubt(&mut self, known: &[usize], others: impl Iterator<Item = usize>) {
         let in_pool = |position: &usize| *position < self.first && self.out.binary_search(position).is_err();
-        self.doubtful.extend(positions.filter(in_pool));
-        self.doubtful.sort_unstable();
-        self.doubtful.dedup();
+        let doubted = self.doubtful.len();
+        self.doubtful.extend(known.iter().copied().filter(in_pool));
+        let ascending = self.doubtful.len();
+        self.doubtful.extend(others.filter(in_pool));
+        if doubted > 0 || self.doubtful.len() > ascending {
+            self.doubtful.sort();
+            self.doubtful.dedup();
+        }
     }
 
     /// Makes all hosts doubtful.
--- a/crates/spokeflow-core/src/state/ready.rs
+++ b/crates/spokeflow-core/src/state/ready.rs
@@ -1,7 +1,7 @@
 //! Figures about the ready hosts of one build, and queues of hosts that started of late.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use crate::Micros;
 
@@ -14,6 +14,8 @@
     pub size: f64,
     pub started: Micros,
     pub warm: bool,
+    /// What it is sent is bounded.
+    pub bounded: bool,
     pub heard: bool,
 }
 
@@ -27,6 +29,9 @@
     /// Hosts by the time of their start and by the bits of their size, which order as positive sizes do.
     starts: BTreeMap<Micros, usize>,
     sizes: BTreeMap<u64, usize>,
+    bounded: BTreeSet<usize>,
+    /// Where the bounded hosts stand by index and by rank, from the first use after a change.
+    bounded_positions: OnceLock<[Vec<usize>; 2]>,
     heard: usize,
     warm: usize,
     warm_size: f64,
@@ -46,6 +51,10 @@
         if member.warm {
             self.warm_up(member.size);
         }
+        if member.bounded {
+            self.bounded.insert(member.host);
+        }
+        self.bounded_positions.take();
     }
 
     /// Undoes [`ReadyHosts::join`] of the same member.
@@ -59,6 +68,7 @@
         take_one(&mut self.starts, member.started);
         take_one(&mut self.sizes, member.size.to_bits());
         self.heard -= usize::from(member.heard);
+        self.unbound(member.host);
         if member.warm {
             self.warm -= 1;
             // Rounding left over by hosts that have gone does not outlive them.
@@ -72,6 +82,12 @@
         self.warm_size += size;
     }
 
+    /// What a host is sent is bounded no longer.
+    pub fn unbound(&mut self, host: usize) {
+        self.bounded.remove(&host);
+        self.bounded_positions.take();
+    }
+
     /// Whether a host counts as heard has changed.
     pub fn set_heard(&mut self, before: bool, after: bool) {
         self.heard = self.heard - usize::from(before) + usize::from(after);
@@ -112,6 +128,20 @@
         self.sizes.keys().next_back().copied().map_or(0.0, f64::from_bits)
     }
 
+    /// Where the hosts stand whose deliveries are bounded, ascending: in [`ReadyHosts::by_index`] and in
+    /// [`ReadyHosts::by_rank`].
+    pub fn bounded_positions(&self) -> &[Vec<usize>; 2] {
+        self.bounded_positions.get_or_init(|| {
+            let by_index = self.bounded.iter().filter_map(|&host| self.index_position(host)).collect();
+            let mut by_rank = Vec::new();
+            if !self.bounded.is_empty() {
+                let hosts = self.by_rank.iter().enumerate();
+                by_rank.extend(hosts.filter(|(_, host)| self.bounded.contains(host)).map(|(p, _)| p));
+            }
+            [by_index, by_rank]
+        })
+    }
+
     /// Where a host stands in [`ReadyHosts::by_index`]; `None` for one that is not among them.
     pub fn index_position(&self, host: usize) -> Option<usize> {
         self.by_index.binary_search(&host).ok()
--- a/crates/spokeflow-core/tests/kept_figures.rs
+++ b/crates/spokeflow-core/tests/kept_figures.rs
@@ -160,6 +160,20 @@
     });
 }
 
+#[test]
+fn the_places_of_bounded_hosts_are_known() {
+    let positions = |hosts: &Hosts, order: Vec<usize>| -> Vec<usize> {
+        let bounded = |h: usize| age(hosts, h) < hosts.spans().bounded;
+        order.iter().enumerate().filter(|(_, h)| bounded(**h)).map(|(position, _)| position).collect()
+    };
+    let plain = |hosts: &Hosts, members: &[usize]| {
+        let mut by_rank = members.to_vec();
+        by_rank.sort_by(|&a, &b| hosts.rank(a).total_cmp(&hosts.rank(b)));
+        [positions(hosts, members.to_vec()), positions(hosts, by_rank)]
+    };
+    for_each_build(|ready| ready.bounded_positions().clone(), plain);
+}
+
 #[test]
 fn hosts_with_a_strike_or_shut_are_known() {
     let mut most = 0;
@@ -249,8 +263,10 @@
             let doubtful = |h: usize| {
                 let silent = hosts.in_flight(h) > 0 && hosts.mute_since(h) < silent;
                 let troubled = hosts.strikes(h) > 0 || hosts.shut_until(h) > hosts.now();
-                age(hosts, h) < span || troubled || silent || h == named
+                troubled || silent || h == named
             };
+            let looked_up = doubtful;
+            let doubtful = |h: usize| age(hosts, h) < span || looked_up(h);
             let first = |h: usize| !doubtful(h) || even(h, 1);
             let second = |h: usize| !doubtful(h) || even(h, 2);
             let members = ready_of(hosts, build);
@@ -293,6 +309,11 @@
             let mut plain = ready_of(hosts, build);
             plain.retain(|&h| near(h));
             assert_holds(&pool, &plain);
+            let mut checked = pool.clone();
+            hosts.doubt(&mut checked, false, Micros::MIN, std::iter::empty());
+            let passes = |h: usize| unit(h as u64) < 0.5;
+            checked.retain(passes);
+            assert_holds(&checked, &plain.iter().copied().filter(|&h| passes(h)).collect::<Vec<_>>());
             plain.sort_by(|&a, &b| hosts.rank(a).total_cmp(&hosts.rank(b)));
             plain.truncate(plain.len() / 2);
             let mut pool = hosts.first_by_rank(pool, plain.len());
