Names: news of the host list that is not accepted has a Rejection

Change: Doubt is Rejection, Step.doubt and View.list_doubt are rejection and list_rejection, in code and docs; the text of spokeflow-fleet status says rejected.

--- a/crates/spokeflow-agreed/src/hosts.rs
+++ b/crates/spokeflow-agreed/src/hosts.rs
@@ -1,4 +1,4 @@
-//! The list of hosts as the log has it, and which news of its source is believed.
+//! The list of hosts as the log has it, and which news of its source is accepted.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -47,14 +47,14 @@
     pub hosts: Vec<ListedHost>,
 }
 
-/// Why news of the source is not believed.
+/// Why news of the source is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Doubt {
+pub enum Rejection {
     /// Its version is lower than one that was told before.
     Backwards { told: u64, before: u64 },
     /// One version was told twice, and not alike.
     Forked { version: u64 },
-    /// More than half of the hosts are missing from a whole list; believed where a second reading says the same.
+    /// More than half of the hosts are missing from a whole list; accepted where a second reading says the same.
     Halved { before: usize, missing: usize },
 }
 
@@ -85,9 +85,9 @@
     }
 
     /// What of the news differs from the list. `Ok(None)`: nothing. `twice`: a second reading said the same.
-    pub fn weigh(&self, news: &SourceNews, twice: bool) -> Result<Option<SourceNews>, Doubt> {
+    pub fn weigh(&self, news: &SourceNews, twice: bool) -> Result<Option<SourceNews>, Rejection> {
         if news.version < self.source {
-            return Err(Doubt::Backwards { told: news.version, before: self.source });
+            return Err(Rejection::Backwards { told: news.version, before: self.source });
         }
         let named: BTreeSet<u32> = news.hosts.iter().map(|h| h.host).collect();
         let mut differ: Vec<ListedHost> = news.hosts.to_vec();
@@ -98,7 +98,7 @@
             let missing: Vec<&ListedHost> = self.there().filter(|h| !named.contains(&h.host)).collect();
             let before = self.there().count();
             if missing.len() * 2 > before && before > 1 && !twice {
-                return Err(Doubt::Halved { before, missing: missing.len() });
+                return Err(Rejection::Halved { before, missing: missing.len() });
             }
             let gone = |h: &ListedHost| ListedHost { state: HostState::Gone, ..h.clone() };
             differ.extend(missing.into_iter().map(gone));
@@ -107,7 +107,7 @@
             return Ok(None);
         }
         if news.version == self.source && self.version.0 > 0 {
-            return Err(Doubt::Forked { version: news.version });
+            return Err(Rejection::Forked { version: news.version });
         }
         Ok(Some(SourceNews { version: news.version, whole: false, hosts: differ }))
     }
--- a/crates/spokeflow-agreed/src/keeper.rs
+++ b/crates/spokeflow-agreed/src/keeper.rs
@@ -8,7 +8,7 @@
 
 use crate::wire::{Answer, Ask, ToKeeper, View};
 use crate::{
-    Act, Doubt, Granter, HostState, LeaseTerms, Ledger, ListPart, Offer, RevisionNo, Seats, SourceNews,
+    Act, Granter, HostState, LeaseTerms, Ledger, ListPart, Offer, Rejection, RevisionNo, Seats, SourceNews,
     Values,
 };
 
@@ -53,8 +53,8 @@
     pub changed: bool,
     /// Its ledger is not what the log says: it must end before anything of this step leaves.
     pub broken: Option<String>,
-    /// News of the list's source that is not believed, for the log; it is to be read once more.
-    pub doubt: Option<Doubt>,
+    /// Why news of the list's source was rejected, for the log; it is to be read once more.
+    pub rejection: Option<Rejection>,
 }
 
 #[derive(Clone, Debug)]
@@ -84,9 +84,9 @@
     /// By host, the incarnation that this keeper has applied, and when: what has passed since is added to the time that
     /// it is up. Of a keeper that has just started that is less than true, and such a host is taken to be colder.
     applied_at: BTreeMap<u32, (u64, Micros)>,
-    /// A whole list that lacked too much, to be believed where it is read again.
-    doubted: Option<SourceNews>,
-    doubt: Option<Doubt>,
+    /// A whole list that lacked too much, to be accepted where it is read again.
+    rejected: Option<SourceNews>,
+    rejection: Option<Rejection>,
     /// Whether a part of the list is in the log and not committed: the next is weighed against it.
     list_out: bool,
     /// News that came meanwhile; what finds no room is read again.
@@ -117,8 +117,8 @@
             passed: BTreeMap::new(),
             next_pass: 0,
             applied_at: BTreeMap::new(),
-            doubted: None,
-            doubt: None,
+            rejected: None,
+            rejection: None,
             list_out: false,
             list_waits: VecDeque::new(),
             wall_s: 0,
@@ -306,14 +306,14 @@
             self.list_waits.truncate(LIST_WAITS);
             return;
         }
-        let twice = self.doubted.as_ref().is_some_and(|d| d.whole && news.whole && alike(d, &news));
+        let twice = self.rejected.as_ref().is_some_and(|r| r.whole && news.whole && alike(r, &news));
         let weighed = self.ledger.list.weigh(&news, twice);
-        let doubt = weighed.as_ref().err().copied();
-        if doubt.is_some() && self.doubt != doubt {
-            step.doubt = doubt;
+        let rejection = weighed.as_ref().err().copied();
+        if rejection.is_some() && self.rejection != rejection {
+            step.rejection = rejection;
         }
-        self.doubt = doubt;
-        self.doubted = matches!(doubt, Some(Doubt::Halved { .. })).then_some(news);
+        self.rejection = rejection;
+        self.rejected = matches!(rejection, Some(Rejection::Halved { .. })).then_some(news);
         if let Ok(Some(news)) = weighed {
             let mut out = Out::default();
             self.list_out = self.member.offer(now, Act::List(news).bytes(), &mut out).is_ok();
@@ -346,7 +346,7 @@
             list: self.ledger.list.version.0,
             list_source: self.ledger.list.source,
             hosts: self.ledger.list.hosts().filter(|h| h.state != HostState::Gone).count() as u64,
-            list_doubt: self.doubt,
+            list_rejection: self.rejection,
             acting: acting as u64,
         }
     }
@@ -408,7 +408,7 @@
         if !self.member.speaks(now) {
             // Leases may have been given by others since: what is known of them is worth nothing.
             if !self.member.is_elected() {
-                (self.granter, self.list_out, self.doubted) = (None, false, None);
+                (self.granter, self.list_out, self.rejected) = (None, false, None);
                 self.list_waits.clear();
             }
             return false;
--- a/crates/spokeflow-agreed/src/lib.rs
+++ b/crates/spokeflow-agreed/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod wire;
 
 pub use granter::{Grant, Granter, Known, Seats};
-pub use hosts::{AgreedList, Doubt, HostState, ListNo, ListPart, ListedHost, SourceNews};
+pub use hosts::{AgreedList, HostState, ListNo, ListPart, ListedHost, Rejection, SourceNews};
 pub use keeper::{Asker, Keeper, KeeperTerms, Step};
 pub use lease_holder::{Asked, LeaseHolder};
 pub use ledger::{Act, Ledger, Offer, Record, Revision, RevisionNo, Values, Verdict};
--- a/crates/spokeflow-agreed/src/wire.rs
+++ b/crates/spokeflow-agreed/src/wire.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use spokeflow_quorum::{KeeperId, Message, Place, Term};
 
-use crate::{Asked, Doubt, Grant, Offer, Record, Revision, Verdict};
+use crate::{Asked, Grant, Offer, Record, Rejection, Revision, Verdict};
 
 pub const MAGIC: [u8; 4] = *b"SPKK";
 pub const VERSION: u16 = 1;
@@ -84,11 +84,13 @@
     pub seats: Vec<(KeeperId, String)>,
     /// Leases that this leader has given and that hold, and how many of them act on the newest revision.
     pub leases: u64,
-    /// Version of the list, the source's version behind it, hosts that are there, and why newer news is not believed.
+    /// Version of the list, the source's version behind it, hosts that are there, and why newer news is rejected.
     pub list: u64,
     pub list_source: u64,
     pub hosts: u64,
-    pub list_doubt: Option<Doubt>,
+    /// Under its earlier name in JSON, which scripts read.
+    #[serde(rename = "list_doubt")]
+    pub list_rejection: Option<Rejection>,
     pub acting: u64,
 }
 
--- a/crates/spokeflow-agreed/tests/list.rs
+++ b/crates/spokeflow-agreed/tests/list.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use spokeflow_agreed::{AgreedList, Doubt, HostState, ListNo, ListPart, ListedHost, SourceNews};
+use spokeflow_agreed::{AgreedList, HostState, ListNo, ListPart, ListedHost, Rejection, SourceNews};
 
 fn host(host: u32, state: HostState, incarnation: u64) -> ListedHost {
     let (address, build, cell, zone) = (format!("127.0.0.1:{host}"), Some(1), 0, 0);
@@ -26,10 +26,10 @@
     let mut list = AgreedList::default();
     taken(&mut list, whole(7, 0..10));
     assert_eq!(list.weigh(&whole(7, 0..10), false), Ok(None), "the same again is nothing new");
-    assert_eq!(list.weigh(&whole(6, 0..9), false), Err(Doubt::Backwards { told: 6, before: 7 }));
-    assert_eq!(list.weigh(&whole(7, 0..9), false), Err(Doubt::Forked { version: 7 }));
+    assert_eq!(list.weigh(&whole(6, 0..9), false), Err(Rejection::Backwards { told: 6, before: 7 }));
+    assert_eq!(list.weigh(&whole(7, 0..9), false), Err(Rejection::Forked { version: 7 }));
     let half = whole(8, 0..4);
-    assert_eq!(list.weigh(&half, false), Err(Doubt::Halved { before: 10, missing: 6 }));
+    assert_eq!(list.weigh(&half, false), Err(Rejection::Halved { before: 10, missing: 6 }));
     let told = list.weigh(&half, true).unwrap().unwrap();
     assert_eq!(told.hosts.iter().filter(|h| h.state == HostState::Gone).count(), 6, "read twice it is");
     // Six that are said to be gone one by one are no half list.
--- a/crates/spokeflow-fleet/src/main.rs
+++ b/crates/spokeflow-fleet/src/main.rs
@@ -290,10 +290,10 @@
     if let Some(a) = &view.announced {
         lines.push(format!("announced       revision {}: {}", a.number.0, text(&a.values)));
     }
-    if view.list > 0 || view.list_doubt.is_some() {
-        let doubt = view.list_doubt.map_or(String::new(), |d| format!("; not believed: {d:?}"));
+    if view.list > 0 || view.list_rejection.is_some() {
+        let rejection = view.list_rejection.map_or(String::new(), |r| format!("; rejected: {r:?}"));
         let (list, source, hosts) = (view.list, view.list_source, view.hosts);
-        lines.push(format!("host list       version {list} (source's {source}), {hosts} hosts{doubt}"));
+        lines.push(format!("host list       version {list} (source's {source}), {hosts} hosts{rejection}"));
     }
     lines.push(format!(
         "routers         {} hold a lease, {} act on the newest revision",
--- a/crates/spokeflow-keeper/src/serve.rs
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -89,8 +89,8 @@
     }
 
     fn carry_out(&mut self, step: Step) {
-        if let Some(doubt) = step.doubt {
-            warn!(?doubt, "news of the host list is not believed");
+        if let Some(rejection) = step.rejection {
+            warn!(?rejection, "news of the host list is not believed");
         }
         if step.changed {
             self.steps.pass(Where::Applied);
