Scale run: control plane with hollow routers over real sockets, measured from system and tap

Cause: what the control plane costs at 1,300 routers was known from simulated time and 24 processes only.

`spokeflow-standin scale` starts real keepers, real routers and processes of hollow routers: the router's own KeeperLink, holder, revision checks and agreed list, without engine, clients and hosts. A tap on every link to a voter counts frames and bytes and reads who leads, leases and revisions in force; the system's /proc gives processor time, memory, descriptors. Eight phases: quiet, changes, churn, zone, start, leader, region, stalled. Bounds are printed, checked before (exit 2) and during the run (exit 1). spokeflow-router makes KeeperLink and Arrival public; procfs is new, nix gains `resource`.

--- a/crates/spokeflow-router/src/keepers.rs
+++ b/crates/spokeflow-router/src/keepers.rs
@@ -28,6 +28,7 @@
 
 type Link = Framed<TcpStream, FrameCodec<FromKeeper, ToKeeper>>;
 
+/// The control side of one router: its link to the keepers and what it holds of them.
 pub struct KeeperLink {
     terms: RouterTerms,
     process: u64,
@@ -48,6 +49,7 @@
 }
 
 impl KeeperLink {
+    /// `core` is told what may be acted on; `applied` tells the newest revision that is acted on since.
     pub fn new(
         terms: &RouterTerms,
         seed: u64,
@@ -62,6 +64,7 @@
         KeeperLink { terms, process, pauses, clock, core, applied, holder, misfit: RevisionNo(0) }
     }
 
+    /// Goes on until `core` or `applied` is closed.
     pub async fn run(mut self) {
         // Spread over the keepers, each router with one of its own to begin with.
         let mut turn = self.terms.index as usize;
--- a/crates/spokeflow-router/src/lib.rs
+++ b/crates/spokeflow-router/src/lib.rs
@@ -16,6 +16,8 @@
 mod serve;
 mod terms;
 
+pub use arrival::Arrival;
+pub use keepers::KeeperLink;
 pub use program::{main_with, RouterProgram};
 pub use revision::REVISABLE;
 pub use serve::{serve, Listening};
--- a/crates/spokeflow-standin/src/fleet/mod.rs
+++ b/crates/spokeflow-standin/src/fleet/mod.rs
@@ -2,7 +2,7 @@
 //! from a seed, and a checker that reads only what crossed the switchboard, the hosts and the clients.
 
 mod check;
-mod peers;
+pub(crate) mod peers;
 mod plan;
 mod play;
 mod switchboard;
--- a/crates/spokeflow-standin/src/lib.rs
+++ b/crates/spokeflow-standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod office;
 pub mod routers;
+pub mod scale;
 pub mod tap;
 
 pub use spokeflow_scenario as scenario;
--- a/crates/spokeflow-standin/src/main.rs
+++ b/crates/spokeflow-standin/src/main.rs
@@ -10,6 +10,7 @@
 use spokeflow_standin::fleet::{self, FleetTerms};
 use spokeflow_standin::load::{load, pass_through, LoadFlags};
 use spokeflow_standin::routers::Starting;
+use spokeflow_standin::scale::{self, HollowFlags, Outcome, ScaleFlags};
 use spokeflow_standin::scenario::flags::DayFlags;
 use spokeflow_standin::scenario::scenario::Kind;
 use spokeflow_standin::{Micros, SECOND};
@@ -30,6 +31,13 @@
     /// Starts real keepers and routers with every link to a keeper through a switchboard, plays drawn faults between them
     /// and checks from what crossed it. Exit code 0: all kept; 1: something broken; 2: wrong use
     Fleet(FleetFlags),
+    /// Measures the control plane at a given size: real keepers and routers, and many hollow routers over real sockets.
+    /// Exit code 0: bounds kept; 1: one exceeded, or the run had to stop; 2: wrong use, or a run that this machine does
+    /// not bear
+    Scale(Box<ScaleFlags>),
+    /// Hollow routers, as the scale run starts them
+    #[command(hide = true)]
+    Hollow(HollowFlags),
     /// What a commit of three keepers costs, beside bare syncs of the same disk
     Commits(CommitFlags),
     /// The kinds of trouble, one a line
@@ -135,6 +143,20 @@
                 ExitCode::from(2)
             }
         },
+        What::Scale(flags) => match scale::scale(&flags) {
+            Ok(report) => {
+                println!("{}", report.text());
+                match report.outcome {
+                    Outcome::Kept => ExitCode::SUCCESS,
+                    Outcome::Exceeded => ExitCode::from(1),
+                }
+            }
+            Err(what) => {
+                eprintln!("spokeflow-standin: {what}");
+                ExitCode::from(2)
+            }
+        },
+        What::Hollow(flags) => scale::hollow(&flags),
         What::Troubles => {
             Kind::ALL.iter().for_each(|kind| println!("{}", kind.name()));
             ExitCode::SUCCESS
--- a/crates/spokeflow-standin/src/routers.rs
+++ b/crates/spokeflow-standin/src/routers.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// `None` once it has ended and that has been noticed.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// As by `kill -9`.
     pub async fn kill(&mut self) {
         let _ = self.child.kill().await;
--- /dev/null
+++ b/crates/spokeflow-standin/src/scale/hollow.rs
@@ -0,0 +1,198 @@
+//! A process of hollow routers: each is the control side of a router, its link to the keepers, its leases, revisions
+//! and agreed list, over real sockets and without an engine, clients and hosts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Args, Parser};
+use serde::{Deserialize, Serialize};
+use spokeflow_agreed::RevisionNo;
+use spokeflow_engine::Input;
+use spokeflow_platform::{start_log, Clock, LogForm};
+use spokeflow_proto::{Line, LinePhase};
+use spokeflow_router::{Arrival, KeeperLink, RouterTerms};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use super::settings::{customers, RouterSettings, Surroundings};
+
+/// What the process says on standard output once its routers are to start.
+pub const STARTED: &str = "hollow routers start";
+/// Arrivals that wait for one router at most; its link waits meanwhile.
+const ARRIVALS: usize = 64;
+
+/// What a hollow process is told on standard input, one JSON value a line. At its end the process ends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HollowCommand {
+    /// These routers end at once, and their connections with them.
+    Leave(BTreeSet<u32>),
+    /// These routers start, as new processes would.
+    Return(BTreeSet<u32>),
+}
+
+#[derive(Args, Clone, Debug)]
+pub struct HollowFlags {
+    /// Number of the first router
+    #[arg(long)]
+    pub first: u32,
+    /// Routers in this process
+    #[arg(long)]
+    pub count: u32,
+    /// Routers in the fleet
+    #[arg(long)]
+    pub fleet_size: u32,
+    /// Customers in their settings
+    #[arg(long, default_value_t = 0)]
+    pub tenants: u32,
+    /// A keeper; repeat the flag for each
+    #[arg(long = "keeper", required = true)]
+    pub keepers: Vec<SocketAddr>,
+    /// The host list comes from the keepers
+    #[arg(long)]
+    pub agreed_list: bool,
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Which lines are logged
+    #[arg(long, default_value = "warn")]
+    pub log: String,
+}
+
+#[derive(Parser)]
+struct RouterLine {
+    #[command(flatten)]
+    terms: RouterTerms,
+}
+
+/// What an agreed list leaves behind in a router: lines by host.
+#[derive(Default)]
+struct ToldHosts(BTreeMap<u32, Line>);
+
+impl ToldHosts {
+    fn hear(&mut self, whole: bool, hosts: Vec<Line>) {
+        if whole {
+            self.0.clear();
+        }
+        for line in hosts {
+            match line.phase {
+                LinePhase::Gone => self.0.remove(&line.host),
+                _ => self.0.insert(line.host, line),
+            };
+        }
+    }
+}
+
+struct Hollow {
+    terms: RouterTerms,
+    seed: u64,
+    running: BTreeMap<u32, JoinHandle<()>>,
+}
+
+impl Hollow {
+    fn start(&mut self, index: u32) {
+        let terms = RouterTerms { index, ..self.terms.clone() };
+        let seed = self.seed.wrapping_mul(31).wrapping_add(u64::from(index));
+        let (core, arrivals) = mpsc::channel(ARRIVALS);
+        let (acts_on, applied) = watch::channel(RevisionNo(0));
+        let link = KeeperLink::new(&terms, seed, Clock::starting_now(), core, applied);
+        // Both end together when the task is dropped.
+        let router = async move {
+            tokio::join!(link.run(), take(arrivals, acts_on));
+        };
+        if let Some(before) = self.running.insert(index, tokio::spawn(router)) {
+            before.abort();
+        }
+    }
+
+    fn obey(&mut self, command: HollowCommand) {
+        match command {
+            HollowCommand::Leave(routers) => {
+                for router in routers {
+                    if let Some(running) = self.running.remove(&router) {
+                        running.abort();
+                    }
+                }
+            }
+            HollowCommand::Return(routers) => routers.into_iter().for_each(|router| self.start(router)),
+        }
+    }
+}
+
+/// Stands in for the task that owns a router's engine.
+async fn take(mut arrivals: mpsc::Receiver<Arrival>, acts_on: watch::Sender<RevisionNo>) {
+    let mut told = ToldHosts::default();
+    while let Some(arrival) = arrivals.recv().await {
+        match arrival {
+            Arrival::Input(Input::AgreedList { whole, hosts }) => told.hear(whole, hosts),
+            Arrival::Agreed { revision, .. } => {
+                acts_on.send_if_modified(|r| std::mem::replace(r, revision) != revision);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The settings of a router of this process. Errors: they do not fit.
+fn terms(flags: &HollowFlags) -> Result<RouterTerms, String> {
+    let settings = RouterSettings {
+        keepers: flags.keepers.clone(),
+        fleet_size: flags.fleet_size,
+        tenants: flags.tenants,
+        agreed_list: flags.agreed_list,
+        seed: flags.seed,
+    };
+    // Required by the flags; a hollow router calls neither.
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    let around = Surroundings { list: nowhere, desk: nowhere };
+    let line = std::iter::once("router".to_string()).chain(settings.flags(flags.first, 0, around));
+    let mut terms = RouterLine::try_parse_from(line).map_err(|e| e.to_string())?.terms;
+    terms.service.customers = customers(flags.tenants);
+    terms.check().map_err(|faults| faults.to_string())?;
+    Ok(terms)
+}
+
+async fn run(flags: &HollowFlags, terms: RouterTerms) {
+    let mut hollow = Hollow { terms, seed: flags.seed, running: BTreeMap::new() };
+    for index in flags.first..flags.first.saturating_add(flags.count) {
+        hollow.start(index);
+    }
+    println!("{STARTED}");
+    let mut commands = BufReader::new(tokio::io::stdin()).lines();
+    while let Ok(Some(line)) = commands.next_line().await {
+        match serde_json::from_str(&line) {
+            Ok(command) => hollow.obey(command),
+            Err(e) => {
+                eprintln!("spokeflow-standin hollow: a command cannot be read: {e}");
+                return;
+            }
+        }
+    }
+}
+
+/// Runs hollow routers until standard input ends. Exit code 0: it has ended; 1: cannot start; 2: settings that do not fit.
+pub fn hollow(flags: &HollowFlags) -> ExitCode {
+    if let Err(fault) = start_log(&flags.log, LogForm::Text) {
+        eprintln!("spokeflow-standin hollow: {fault}");
+        return ExitCode::from(2);
+    }
+    let terms = match terms(flags) {
+        Ok(terms) => terms,
+        Err(faults) => {
+            eprintln!("spokeflow-standin hollow: {faults}");
+            return ExitCode::from(2);
+        }
+    };
+    // One thread, as a router has.
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("spokeflow-standin hollow: cannot start: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(run(flags, terms));
+    runtime.shutdown_background();
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/spokeflow-standin/src/scale/list.rs
@@ -0,0 +1,137 @@
+//! The source of the host list: lines that change, told whole or as what changed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use futures_util::{SinkExt, StreamExt};
+use spokeflow_proto::{FrameCodec, FromList, Line, LinePhase, ToList, LIST_LIMIT};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio_util::codec::Framed;
+
+/// Builds that hosts run, in turn.
+const BUILDS: u32 = 2;
+/// Hosts have addresses of this form and no one listens there: without clients no router connects to a host.
+fn address(host: u32) -> String {
+    let [_, high, middle, low] = host.to_be_bytes();
+    format!("127.{high}.{middle}.{low}:9")
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lines {
+    version: u64,
+    lines: BTreeMap<u32, Line>,
+    /// The version with which each host changed last.
+    changed: BTreeMap<u32, u64>,
+}
+
+impl Lines {
+    fn since(&self, version: u64) -> Vec<Line> {
+        let changed = self.changed.iter().filter(|(_, at)| **at > version);
+        changed.filter_map(|(host, _)| self.lines.get(host).cloned()).collect()
+    }
+}
+
+pub struct ListSource {
+    lines: Mutex<Lines>,
+    version: watch::Sender<u64>,
+}
+
+impl ListSource {
+    /// A list of `hosts` hosts that are ready, each in the zone that `zone` tells.
+    pub fn new(hosts: u32, zone: impl Fn(u32) -> u16) -> Arc<ListSource> {
+        let line = |host| Line {
+            host,
+            address: address(host),
+            build: Some((1 + host % BUILDS) as u16),
+            cell: 0,
+            zone: zone(host),
+            phase: LinePhase::Ready,
+            incarnation: 1,
+            up_us: None,
+        };
+        let lines = (0..hosts).map(|host| (host, line(host))).collect();
+        let changed = (0..hosts).map(|host| (host, 1)).collect();
+        let lines = Mutex::new(Lines { version: 1, lines, changed });
+        Arc::new(ListSource { lines, version: watch::Sender::new(1) })
+    }
+
+    /// These hosts are gone, all with one version.
+    pub fn remove(&self, hosts: &[u32]) {
+        self.change(hosts, |line| line.phase = LinePhase::Gone);
+    }
+
+    /// These hosts are back as new processes, all with one version.
+    pub fn bring_back(&self, hosts: &[u32]) {
+        self.change(hosts, |line| {
+            line.phase = LinePhase::Ready;
+            line.incarnation += 1;
+            line.up_us = Some(0);
+        });
+    }
+
+    fn change(&self, hosts: &[u32], change: impl Fn(&mut Line)) {
+        let version = {
+            let mut lines = self.lines.lock().expect("no holder panics");
+            lines.version += 1;
+            let version = lines.version;
+            for host in hosts {
+                if let Some(line) = lines.lines.get_mut(host) {
+                    change(line);
+                    lines.changed.insert(*host, version);
+                }
+            }
+            version
+        };
+        self.version.send_replace(version);
+    }
+
+    /// Takes connections. Errors: no port can be had.
+    pub async fn open(self: &Arc<Self>) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let source = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(source.clone().serve(stream));
+            }
+        });
+        Ok(address)
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let codec = FrameCodec::<ToList, FromList>::new(LIST_LIMIT);
+        let mut link = Framed::new(stream, codec);
+        let mut version = self.version.subscribe();
+        let mut told = None;
+        loop {
+            let answer = tokio::select! {
+                read = link.next() => match read {
+                    Some(Ok(ToList::Hello(_))) => FromList::Welcome,
+                    Some(Ok(_)) => self.whole(&mut told),
+                    _ => return,
+                },
+                Ok(()) = version.changed(), if told.is_some() => self.changes(&mut told),
+            };
+            if link.send(answer).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn whole(&self, told: &mut Option<u64>) -> FromList {
+        let lines = self.lines.lock().expect("no holder panics");
+        *told = Some(lines.version);
+        let there = lines.lines.values().filter(|line| line.phase != LinePhase::Gone);
+        FromList::Whole { version: lines.version, lines: there.cloned().collect() }
+    }
+
+    fn changes(&self, told: &mut Option<u64>) -> FromList {
+        let lines = self.lines.lock().expect("no holder panics");
+        let changed = lines.since(told.unwrap_or(0));
+        *told = Some(lines.version);
+        FromList::Changes { version: lines.version, lines: changed }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-standin/src/scale/offers.rs
@@ -0,0 +1,109 @@
+//! Offers revisions to the voters as a person's tool does, and notes when each was offered first.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use spokeflow_agreed::wire::{Answer, Ask};
+use spokeflow_agreed::{Offer, RevisionNo, Verdict};
+use spokeflow_keeper::ask::ask_one;
+use tokio::time::{sleep, Instant};
+
+use super::rig::Rig;
+use super::settings::revision;
+
+/// Between two attempts with one revision.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Every voter in turn fails with an offer so often: none will take it. A voter that is not there fails alone.
+const ROUNDS_AT_MOST: usize = 2;
+
+pub struct Offers {
+    rig: Arc<Rig>,
+    random: StdRng,
+    newest: RevisionNo,
+    offered: u32,
+    /// Why a revision was not taken: no further one is offered.
+    pub refused: Option<String>,
+}
+
+impl Offers {
+    pub fn new(rig: Arc<Rig>) -> Self {
+        let random = StdRng::seed_from_u64(rig.flags.seed);
+        Offers { rig, random, newest: RevisionNo(0), offered: 0, refused: None }
+    }
+
+    /// Offers one revision until it is announced. Answers its number, or `None` where none was or will be taken.
+    pub async fn offer(&mut self) -> Option<u64> {
+        if self.refused.is_some() {
+            return None;
+        }
+        self.offered += 1;
+        let at = self.rig.tap.now();
+        match self.announce().await {
+            Ok(number) => {
+                self.newest = number;
+                self.rig.tap.seen().propagation.offered(number.0, at);
+                Some(number.0)
+            }
+            Err(what) => {
+                self.refused = Some(what);
+                None
+            }
+        }
+    }
+
+    async fn announce(&mut self) -> Result<RevisionNo, String> {
+        let within = self.rig.flags.in_force_within;
+        let until = Instant::now() + within;
+        let mut offer = Offer {
+            token: self.random.random(),
+            against: self.newest,
+            who: "scale".into(),
+            why: "measured".into(),
+            at_s: 0,
+            values: revision(self.offered, self.rig.flags.tenants),
+        };
+        let bytes = postcard::to_stdvec(&offer).map_or(0, |bytes| bytes.len());
+        let failures_at_most = ROUNDS_AT_MOST * self.rig.voters_at.len();
+        let (mut failures, mut last) = (0, String::new());
+        for voter in self.rig.voters_at.clone().into_iter().cycle() {
+            if Instant::now() >= until || failures >= failures_at_most {
+                break;
+            }
+            let asked = ask_one(voter, Ask::Offer(offer.clone())).await;
+            failures = if asked.is_ok() { 0 } else { failures + 1 };
+            match asked {
+                Ok(Answer::Offered(Verdict::Announced(number))) => return Ok(number),
+                Ok(Answer::Offered(Verdict::Stale { newest })) => {
+                    (offer.against, offer.token) = (newest, self.random.random());
+                    continue;
+                }
+                Ok(Answer::Offered(Verdict::Busy { announced })) => {
+                    (offer.against, offer.token) = (announced, self.random.random());
+                    last = format!("revision {} was still not in force", announced.0);
+                }
+                Ok(Answer::Bad(what)) => return Err(format!("an offer of {bytes} bytes is refused: {what}")),
+                Ok(answer) => last = format!("{answer:?}"),
+                Err(what) => last = what,
+            }
+            sleep(PAUSE).await;
+        }
+        Err(format!("an offer of {bytes} bytes was not announced, within {within:?} at most; last: {last}"))
+    }
+
+    /// Offers at the rate of the flags for this time. Answers the numbers of the revisions that were taken.
+    pub async fn at_rate(&mut self, lasts: Duration) -> Vec<u64> {
+        let mut numbers = Vec::new();
+        let every = Duration::from_secs_f64(60.0 / self.rig.flags.changes_per_minute);
+        let until = Instant::now() + lasts;
+        let mut next = Instant::now();
+        while next < until && self.refused.is_none() {
+            tokio::time::sleep_until(next).await;
+            numbers.extend(self.offer().await);
+            next = (next + every).max(Instant::now());
+        }
+        tokio::time::sleep_until(until).await;
+        numbers
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-standin/src/scale/run.rs
@@ -0,0 +1,250 @@
+//! A run from its checks to its report.
+
+use std::io::IsTerminal;
+use std::path::Path;
+use std::sync::Arc;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::bounds::{Demand, Machine};
+use super::flags::{Phase, ScaleFlags};
+use super::measure::{measure, times};
+use super::offers::Offers;
+use super::phases::{until_in_force, until_ready, Phases};
+use super::report::{bounds, Report, Spread, SpreadOf};
+use super::rig::Rig;
+use super::sample::{PhaseSamples, Role, Sampler};
+use crate::routers::Starting;
+
+/// The phase in which all processes are started.
+const LAUNCH: &str = "launch";
+/// A voter's memory may grow by so many bytes while routers do not read.
+const STALL_GROWTH_AT_MOST: u64 = 32_000_000;
+const MICROS: f64 = 1e6;
+/// Flags whose values are places of this machine: the report does not repeat them.
+const PLACES: [&str; 2] = ["--json", "--logs"];
+
+/// One line on standard error for each thing that begins, and a bar where someone watches.
+struct Progress {
+    bar: ProgressBar,
+    start: Instant,
+}
+
+impl Progress {
+    fn new(phases: usize) -> Progress {
+        let bar = match std::io::stderr().is_terminal() {
+            true => ProgressBar::new(phases as u64),
+            false => ProgressBar::hidden(),
+        };
+        if let Ok(style) = ProgressStyle::with_template("{pos} of {len} phases, {elapsed} gone {wide_msg}") {
+            bar.set_style(style);
+        }
+        Progress { bar, start: Instant::now() }
+    }
+
+    fn say(&self, what: &str) {
+        let line = format!("{:>7.1} s  {what}", self.start.elapsed().as_secs_f64());
+        match self.bar.is_hidden() {
+            true => eprintln!("{line}"),
+            false => self.bar.println(line),
+        }
+    }
+}
+
+/// The command as typed, without places of this machine.
+fn command() -> String {
+    let mut words = vec!["spokeflow-standin".to_string()];
+    let mut arguments = std::env::args().skip(1);
+    while let Some(argument) = arguments.next() {
+        let place = PLACES.iter().find(|place| argument.starts_with(**place));
+        match place {
+            Some(place) if argument == *place => drop(arguments.next()),
+            Some(_) => {}
+            None => words.push(argument),
+        }
+    }
+    words.join(" ")
+}
+
+/// Plays a run and answers its report. Errors: wrong use, or a run that this machine does not bear; nothing was started.
+pub fn scale(flags: &ScaleFlags) -> Result<Report, String> {
+    flags.check()?;
+    let machine = Machine::here()?;
+    let demand = Demand::of(flags);
+    bounds(flags, &machine).iter().for_each(|bound| eprintln!("bound: {bound}"));
+    machine.bears(&demand).map_err(|what| format!("this run needs {what}"))?;
+    let mut starting = Starting::own().map_err(|e| e.to_string())?;
+    if let Some(folder) = &flags.logs {
+        std::fs::create_dir_all(folder).map_err(|e| format!("--logs {}: {e}", folder.display()))?;
+    }
+    starting.logs.clone_from(&flags.logs);
+    starting.log.clone_from(&flags.log);
+    if let Some(file) = &flags.json {
+        // Before anything is started: the report of a long run is not lost for a wrong name.
+        write(file, "")?;
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let mut report = Report::new(flags, machine, demand, command());
+    let stores = std::env::temp_dir().join(format!("spokeflow-scale-{}", std::process::id()));
+    runtime.block_on(async {
+        let rig = Rig::open(flags.clone(), starting, stores).await?;
+        play(&rig, machine, &mut report).await;
+        rig.end().await;
+        Ok::<(), String>(())
+    })?;
+    runtime.shutdown_background();
+    if let Some(file) = &flags.json {
+        write(file, &serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?)?;
+    }
+    Ok(report)
+}
+
+fn write(file: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(file, text).map_err(|e| format!("--json {}: {e}", file.display()))
+}
+
+/// Resolves once someone tells this program to end. Errors of the signal's handler leave it waiting.
+async fn interrupted() -> String {
+    use tokio::signal::unix::{signal, SignalKind};
+    let Ok(mut terminated) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = terminated.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    "told to end".into()
+}
+
+/// Plays all phases, or until the run has to stop; whatever ends it is in the report.
+async fn play(rig: &Arc<Rig>, machine: Machine, report: &mut Report) {
+    let (stop, mut stopped) = watch::channel(None);
+    let sampler = Sampler::new(rig.roster.clone(), rig.tap.clone(), machine, rig.flags.real, stop);
+    let sampling = tokio::spawn(sampler.clone().run());
+    let ended = tokio::select! {
+        played = phases(rig, &sampler, report) => played.err(),
+        why = interrupted() => Some(why),
+        why = async {
+            match stopped.wait_for(Option::is_some).await {
+                Ok(why) => why.clone().unwrap_or_default(),
+                Err(_) => std::future::pending().await,
+            }
+        } => Some(why),
+    };
+    sampling.abort();
+    if let Some(why) = ended {
+        report.stop(why);
+    }
+}
+
+async fn phases(rig: &Arc<Rig>, sampler: &Sampler, report: &mut Report) -> Result<(), String> {
+    let played = rig.flags.played();
+    let progress = Progress::new(played.len());
+    progress.say(LAUNCH);
+    rig.launch().await?;
+    until_ready(rig).await;
+    judge(rig, report, LAUNCH, &[], &sampler.take());
+    let starting = rig.tap.seen().propagation.starting();
+    if starting > 0 {
+        return Err(format!("{starting} of {} routers were not ready in time", rig.flags.routers));
+    }
+    let mut offers = Offers::new(rig.clone());
+    let mut phases = Phases::new(rig.clone());
+    for phase in played {
+        let name = phase.name();
+        progress.say(&name);
+        sampler.take();
+        phases.play(phase, &mut offers).await?;
+        let sampled = sampler.take();
+        until_in_force(rig).await;
+        let revisions = std::mem::take(&mut phases.revisions);
+        judge(rig, report, &name, &revisions, &sampled);
+        if let Some(what) = offers.refused.take() {
+            report.find(&name, "revision refused", what);
+        }
+        judge_election(report, &name, &mut phases);
+        if phase == Phase::Stalled {
+            judge_growth(report, &name, &sampled);
+        }
+        progress.bar.inc(1);
+    }
+    Ok(())
+}
+
+/// Figures and findings of one phase.
+fn judge(rig: &Rig, report: &mut Report, phase: &str, revisions: &[u64], samples: &PhaseSamples) {
+    let flags = &rig.flags;
+    measure(report, flags, phase, samples);
+    let mut seen = rig.tap.seen();
+    let (mut told, mut confirmed, mut everywhere) = (Vec::new(), Vec::new(), Vec::new());
+    for number in revisions {
+        let Some(spread) = seen.propagation.spread(*number, flags.routers) else { continue };
+        if let Some(first) = spread.missing.first() {
+            let text = format!(
+                "revision {number} is not in force at {} routers, such as {first}",
+                spread.missing.len()
+            );
+            report.find(phase, "in force", text);
+        }
+        everywhere.extend(spread.confirmed.iter().max());
+        told.extend(spread.told);
+        confirmed.extend(spread.confirmed);
+    }
+    if !revisions.is_empty() {
+        let taken = Spread::one(revisions.len() as f64);
+        report.figure(phase, Role::Fleet, "revisions", "revisions", taken, SpreadOf::One);
+    }
+    times(report, phase, "offer_to_told", &told, SpreadOf::Arrivals);
+    times(report, phase, "offer_to_in_force_everywhere", &everywhere, SpreadOf::Arrivals);
+    let worst = times(report, phase, "offer_to_in_force", &confirmed, SpreadOf::Arrivals);
+    let within = flags.in_force_within.as_secs_f64();
+    if let Some(worst) = worst.filter(|worst| *worst > within) {
+        report.find(phase, "in force", format!("{worst:.3} s at the slowest router, {within} s allowed"));
+    }
+    let ready = seen.propagation.take_ready();
+    let worst = times(report, phase, "time_to_ready", &ready, SpreadOf::Starts);
+    let within = flags.ready_within.as_secs_f64();
+    let not_ready = seen.propagation.starting();
+    if not_ready > 0 {
+        report.find(phase, "ready", format!("{not_ready} routers were not ready within {within} s"));
+    } else if let Some(worst) = worst.filter(|worst| *worst > within) {
+        report.find(phase, "ready", format!("{worst:.3} s at the slowest router, {within} s allowed"));
+    }
+    let lapses = std::mem::take(&mut seen.lapses);
+    let count = Spread::one(lapses.count as f64);
+    report.figure(phase, Role::Fleet, "lease_lapses", "lapses", count, SpreadOf::One);
+    let longest = Spread::one(lapses.longest as f64 / MICROS);
+    report.figure(phase, Role::Fleet, "longest_lease_lapse", "s", longest, SpreadOf::One);
+}
+
+fn judge_election(report: &mut Report, phase: &str, phases: &mut Phases) {
+    let Some(election) = phases.election.take() else { return };
+    let figures = [("leaderless", election.leaderless), ("kill_to_first_lease", election.first_grant)];
+    for (quantity, micros) in figures {
+        match micros {
+            Some(micros) => {
+                let spread = Spread::one(micros as f64 / MICROS);
+                report.figure(phase, Role::Fleet, quantity, "s", spread, SpreadOf::One);
+            }
+            None => report.find(phase, "election", format!("{quantity}: not seen while the voter was away")),
+        }
+    }
+}
+
+/// A process that does not read must cost a voter no memory.
+fn judge_growth(report: &mut Report, phase: &str, samples: &PhaseSamples) {
+    let voters = samples
+        .processes
+        .iter()
+        .filter(|((role, _), _)| matches!(role, Role::VoterLeader | Role::VoterFollower));
+    for ((_, name), process) in voters {
+        let first = process.resident_bytes.first().copied().unwrap_or(0);
+        let most = process.resident_bytes.iter().max().copied().unwrap_or(0);
+        let growth = most.saturating_sub(first);
+        if growth > STALL_GROWTH_AT_MOST {
+            let text = format!("{name} grew by {growth} bytes, {STALL_GROWTH_AT_MOST} allowed");
+            report.find(phase, "voter's memory", text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-standin/src/scale/settings.rs
@@ -0,0 +1,87 @@
+//! Settings of the routers of a run, real and hollow alike, and the values of the revisions that are offered.
+
+use std::net::SocketAddr;
+
+use spokeflow_agreed::Values;
+
+/// One argument of a program may be no longer than this on Linux, less some room.
+const ARGUMENT_AT_MOST: usize = 100_000;
+/// Every customer's commands a second at the start.
+const SHARE: u32 = 10;
+
+/// What all routers of a run are told alike.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    pub keepers: Vec<SocketAddr>,
+    pub fleet_size: u32,
+    pub tenants: u32,
+    pub agreed_list: bool,
+    pub seed: u64,
+}
+
+/// Where a real router finds what surrounds it.
+#[derive(Clone, Copy, Debug)]
+pub struct Surroundings {
+    pub list: SocketAddr,
+    pub desk: SocketAddr,
+}
+
+fn tenant(number: u32) -> String {
+    format!("t{number:05}")
+}
+
+/// Customers of a run, by name, with their shares.
+pub fn customers(tenants: u32) -> Vec<(String, f64)> {
+    (0..tenants).map(|number| (tenant(number), f64::from(SHARE))).collect()
+}
+
+/// The values of the `number`-th revision: one plain value, and where there are customers, all of them with one share
+/// changed, since a revision names a flag's whole value.
+pub fn revision(number: u32, tenants: u32) -> Values {
+    let mut values = Values::from([("exposure-free".to_string(), (1000 + number).to_string())]);
+    if tenants > 0 {
+        let changed = number % tenants;
+        let share = |n: u32| if n == changed { SHARE + 1 } else { SHARE };
+        let list: Vec<String> = (0..tenants).map(|n| format!("{}={}", tenant(n), share(n))).collect();
+        values.insert("customer".into(), list.join(","));
+    }
+    values
+}
+
+impl RouterSettings {
+    /// Flags of one router, without its customers.
+    pub fn flags(&self, index: u32, site: u16, around: Surroundings) -> Vec<String> {
+        let mut flags = vec![
+            "--listen=127.0.0.1:0".to_string(),
+            format!("--list={}", around.list),
+            format!("--desk={}", around.desk),
+            format!("--index={index}"),
+            format!("--site={site}"),
+            format!("--fleet-size={}", self.fleet_size),
+            "--op=read:redeliverable:target=500ms:timeout=2s".into(),
+            "--op=seal:at-most-once:target=500ms:timeout=2s".into(),
+            format!("--seed={}", self.seed.wrapping_mul(31).wrapping_add(u64::from(index))),
+        ];
+        flags.extend(self.keepers.iter().map(|keeper| format!("--keeper={keeper}")));
+        if self.agreed_list {
+            flags.push("--agreed-list".into());
+        }
+        flags
+    }
+
+    /// Flags that name the customers, as many to one flag as fit.
+    pub fn customer_flags(&self) -> Vec<String> {
+        let mut flags: Vec<String> = Vec::new();
+        for (name, share) in customers(self.tenants) {
+            let named = format!("{name}={share}");
+            match flags.last_mut().filter(|flag| flag.len() + named.len() < ARGUMENT_AT_MOST) {
+                Some(flag) => {
+                    flag.push(',');
+                    flag.push_str(&named);
+                }
+                None => flags.push(format!("--customer={named}")),
+            }
+        }
+        flags
+    }
+}
