--- a/crates/spokeflow-lab/src/capacity/collect.rs
+++ b/crates/spokeflow-lab/src/capacity/collect.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use super::error::CapacityError;
-use super::records::{read_records, Record};
+use super::records::{read_records, Held, Record};
 use super::slopes::{Line, Point, Slopes};
 
 /// What records of one line have in common.
@@ -16,10 +16,14 @@
     phase: String,
     per: String,
     unit: String,
-    /// As text: JSON values have no order.
-    held: String,
+    /// Sizes that were held, as text: JSON values have no order.
+    held: Vec<String>,
 }
 
+/// What tells two sweeps over one size apart; other entries of `held` may differ from point to point.
+const SWEEP_SIZES: [&str; 7] =
+    ["routers", "hosts", "tenants", "voters", "changes_per_minute", "fleet_size", "commands_per_s"];
+
 /// Reads every raw run of a folder, in the order of their names, and makes the lines of it.
 ///
 /// Errors: the folder or a file in it, with the entry that does not fit.
@@ -68,10 +72,24 @@
         phase: record.phase.clone(),
         per: record.size_of.clone(),
         unit: record.unit.clone(),
-        held: serde_json::to_string(&record.held).unwrap_or_default(),
+        held: held_sizes(record),
     }
 }
 
+fn held_sizes(record: &Record) -> Vec<String> {
+    let names = SWEEP_SIZES.iter().filter(|name| **name != record.size_of.replace('-', "_"));
+    names.filter_map(|name| record.held.get(*name).map(|value| format!("{name} {value}"))).collect()
+}
+
+/// What all records have alike, except the size that changes.
+fn held_by_all(records: &[Record]) -> Held {
+    let Some(first) = records.first() else { return Held::new() };
+    let alike =
+        |name: &str, value: &serde_json::Value| records.iter().all(|r| r.held.get(name) == Some(value));
+    let held = first.held.iter().filter(|(name, value)| **name != first.size_of && alike(name, value));
+    held.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
 fn line(key: Key, records: Vec<Record>) -> Option<Line> {
     let first = records.first()?;
     let run = key.run.strip_suffix(".json").unwrap_or(&key.run);
@@ -82,7 +100,7 @@
         unit: key.unit,
         per: key.per,
         phase: key.phase,
-        held: first.held.clone(),
+        held: held_by_all(&records),
         command: first.command.clone(),
         date: first.date.clone(),
         run: key.run,
--- a/crates/spokeflow-lab/src/capacity/commands.rs
+++ b/crates/spokeflow-lab/src/capacity/commands.rs
@@ -9,6 +9,8 @@
 use super::collect::collect;
 use super::encoded;
 use super::error::CapacityError;
+use super::page::Page;
+use super::rows::rows;
 use super::slopes::Slopes;
 use super::target::Target;
 
@@ -51,8 +53,14 @@
 pub fn capacity(flags: &CapacityFlags) -> Result<String, CapacityError> {
     let target = Target::read(&flags.target)?;
     let slopes = Slopes::read(&flags.slopes)?;
-    let _ = (target, slopes, flags.json);
-    Ok(String::new())
+    let rows = rows(&target, &slopes);
+    if flags.json {
+        let text = serde_json::to_string_pretty(&rows);
+        return text.map(|text| text + "\n").map_err(|e| CapacityError::new(&flags.slopes, "", e));
+    }
+    let (of, by) = (flags.target.display(), flags.slopes.display());
+    let command = format!("spokeflow-lab capacity --target {of} --slopes {by}");
+    Ok(Page { target: &target, slopes: &slopes, rows: &rows, command: &command }.text())
 }
 
 /// Makes the measured lines from raw runs and writes them. Answers how many lines there are.
--- a/crates/spokeflow-lab/src/capacity/encoded.rs
+++ b/crates/spokeflow-lab/src/capacity/encoded.rs
@@ -71,6 +71,7 @@
         value: bytes as f64,
         min: None,
         max: None,
+        spread_of: None,
         held,
         command: COMMAND.into(),
         date: String::new(),
--- a/crates/spokeflow-lab/src/capacity/mod.rs
+++ b/crates/spokeflow-lab/src/capacity/mod.rs
@@ -4,9 +4,20 @@
 mod collect;
 mod commands;
 mod encoded;
+mod ends;
 mod error;
+mod estimate;
+pub mod evidence;
 mod fit;
+mod lease;
+pub mod limits;
+mod page;
+mod placement;
 mod records;
+mod remedy;
+mod row;
+mod rows;
+mod situation;
 mod slopes;
 mod target;
 
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/page/sections.rs
@@ -0,0 +1,346 @@
+//! Sections beside the rows: target, machines, bounds, the two ends, evidence, measured lines.
+
+use super::super::ends::End;
+use super::super::evidence::{self, StageEvidence};
+use super::super::fit::Form;
+use super::super::lease::LeaseBounds;
+use super::super::placement::{place, voters_to_spare};
+use super::super::row::{plain, Unit};
+use super::super::slopes::{Line, Point, ENOUGH_POINTS, FAR};
+use super::{table, Page};
+
+/// Fewer routers on the average are not told apart.
+const LEAST_ROUTERS: f64 = 0.01;
+
+impl Page<'_> {
+    pub(super) fn opening(&self) -> String {
+        format!(
+            "# Capacity: what \"{}\" costs today\n\n\
+             What each role of the deployment has to carry at the target, against its budget, computed from measured lines and \
+             from nothing else. A row without a measured line says \"not measured\". Printed by\n\n    {}\n\n\
+             so that another target is a changed file (`docs/operate/capacity.md`). Measured on one small machine over \
+             loopback: ratios between sizes carry over, times do not.\n",
+            self.target.name, self.command
+        )
+    }
+
+    pub(super) fn target_and_assumptions(&self) -> String {
+        let (t, a) = (self.target, &self.target.assumptions);
+        let (fleet, load, budget, faults) = (&t.fleet, &t.load, &t.budget, &t.faults);
+        let row = |what: &str, value: String| [what.to_string(), value];
+        let told = vec![
+            row("routers, hosts, services", join([fleet.routers, fleet.hosts, fleet.services])),
+            row("routes, tenants", join([fleet.routes, fleet.tenants])),
+            row(
+                "regions, zones, control machines",
+                join([fleet.regions, fleet.zones, fleet.control_machines]),
+            ),
+            row("requests a second at the peak", plain(load.peak_requests_per_second)),
+            row(
+                "changes a day, in force everywhere within",
+                format!("{}, {} s", plain(load.changes_per_day), plain(load.change_bound_seconds)),
+            ),
+            row("time added to 99 of 100 requests", format!("{} ms", plain(budget.added_milliseconds))),
+            row(
+                "control of one router: core, memory, bytes",
+                format!(
+                    "{}%, {} MB, {} KB/s",
+                    plain(budget.control_core_share * 100.0),
+                    plain(budget.control_memory_mb),
+                    plain(budget.control_kb_per_second)
+                ),
+            ),
+            row(
+                "machines that fail, are restarted or replaced a day",
+                join([faults.machines_failed_per_day, faults.machines_restarted_per_day]),
+            ),
+            row("racks, zones lost a year", join([faults.racks_lost_per_year, faults.zones_lost_per_year])),
+            row("hours for which regions lose each other", plain(faults.region_apart_hours)),
+        ];
+        let assumed = vec![
+            row("mean requests over those at the peak", plain(a.mean_share_of_peak)),
+            row("changes in the busiest minute; each changes one tenant's share", plain(a.changes_in_busiest_minute)),
+            row("hours of a day in which machines are restarted", plain(a.restart_hours)),
+            row("machines in a rack", plain(a.machines_per_rack)),
+            row("releases of each host a day", plain(a.releases_per_host_per_day)),
+            row("host restarts in the busiest minute", plain(a.host_restarts_in_busiest_minute)),
+            row("list lines of a planned restart, of a failure", join([a.list_lines_per_restart, a.list_lines_per_failure])),
+            row("time of a host's answer", format!("{} ms", plain(a.answer_milliseconds))),
+            row("hosts of the largest service", plain(a.largest_service_hosts)),
+            row("cores for a router's deciding task, for a voter's thread", join([a.router_cores, a.voter_cores])),
+            row("memory and network of a control machine", format!("{} MB, {} MB/s", plain(a.control_machine_mb), plain(a.control_machine_mb_per_second))),
+            row("machines that fail are routers and hosts by their numbers; a zone and a rack hold their part of both", "-".into()),
+        ];
+        format!(
+            "## The target\n\n{}\nAssumed, since the target does not say it:\n\n{}",
+            table(["what", "value"], told),
+            table(["assumption", "value"], assumed)
+        )
+    }
+
+    /// Sizes of the target that today's settings have no word for.
+    pub(super) fn not_carried(&self) -> String {
+        let fleet = &self.target.fleet;
+        let row = |size: &str, count: f64, why: &str| [size.to_string(), plain(count), why.to_string()];
+        let rows = vec![
+            row(
+                "services",
+                fleet.services,
+                "missing: one `ServiceTerms`, one host list and one release for a router process; several services need several \
+                 routers and several sets of voters",
+            ),
+            row("routes", fleet.routes, "missing: no setting of `spokeflow-router` or `spokeflow-settings` names a route"),
+        ];
+        format!(
+            "## Sizes that nothing carries\n\nThese have no ratio: there is no mechanism to hold them against.\n\n{}",
+            table(["size", "target", "today"], rows)
+        )
+    }
+
+    pub(super) fn control_machines(&self) -> String {
+        let placed = place(self.target);
+        let rows = placed.iter().map(|p| {
+            let duty = p.duty.name().to_string();
+            [p.region.to_string(), duty, p.machines.to_string(), p.duty.mechanism().to_string()]
+        });
+        let mut text = String::from("## The control machines\n\n");
+        text += &table(["region", "what it does", "machines", "carried by"], rows.collect());
+        text += "\nWhat a loss costs:\n\n";
+        text + &table(["lost", "cost", "mechanism"], self.losses())
+    }
+
+    fn losses(&self) -> Vec<[String; 3]> {
+        let (terms, fleet) = (&self.target.terms, &self.target.fleet);
+        let bounds = LeaseBounds::of(self.target);
+        let (voters, spare) = (plain(terms.voters), plain(voters_to_spare(terms.voters)));
+        let beyond = plain(voters_to_spare(terms.voters) + 1.0);
+        let routers = plain((fleet.routers / fleet.regions).ceil());
+        let (election, held) = (plain(2.0 * terms.silence_seconds), plain(bounds.held));
+        let in_force = plain(bounds.in_force_with_election);
+        let row = |lost: String, cost: String, by: &str| [lost, cost, by.to_string()];
+        vec![
+            row(
+                "a voter that follows".into(),
+                format!("nothing; {spare} of {voters} may be lost. Its routers ask the next one"),
+                "`Member`; `KeeperLink`",
+            ),
+            row(
+                "the voter that leads".into(),
+                format!("no leases for about {election} s, which leases of {held} s bridge; a change under way is in force within {in_force} s"),
+                "`Member`, `Granter`",
+            ),
+            row(
+                format!("{beyond} voters"),
+                format!("no changes; after {held} s every router serves by the standing build alone"),
+                "`Holder`, engine",
+            ),
+            row(
+                "a region, or the way to it".into(),
+                format!(
+                    "its {routers} routers serve by the standing build alone and get no change until it is back; a majority of \
+                     voters elsewhere goes on"
+                ),
+                "`Holder`, `Member`",
+            ),
+            row(
+                "the list source".into(),
+                "the agreed list stays as it was; hosts that start meanwhile get nothing".into(),
+                "`spokeflow-agreed`, `AgreedList`",
+            ),
+            row(
+                "the release controller".into(),
+                "builds stay in their stage; routers serve on".into(),
+                "`spokeflow-router`, `desk`",
+            ),
+            row("a relay".into(), "not defined: there is none".into(), "missing"),
+            row(
+                "all power".into(),
+                format!(
+                    "voters start from their stores and elect within about {election} s; {} routers start from their list files \
+                     and ask for everything at once (rows \"power loss\")",
+                    plain(fleet.routers)
+                ),
+                "`Store`; `--list-file`",
+            ),
+        ]
+    }
+
+    pub(super) fn lease_bounds(&self) -> String {
+        let bounds = LeaseBounds::of(self.target);
+        let allowed = self.target.load.change_bound_seconds;
+        let row = |what: &str, how: &str, seconds: f64| {
+            [what.to_string(), how.to_string(), format!("{} s", plain(seconds)), plain(seconds / allowed)]
+        };
+        let rows = vec![
+            row("lease T", "`--lease`", bounds.lease),
+            row("a router holds a grant", "T x (1 - drift), by its clock, from the request", bounds.held),
+            row("it asks again after", "a third of that", bounds.renewal),
+            row("the leader waits", "T x (1 + drift), by its clock, from its answer", bounds.waits),
+            row(
+                "two contradicting acts last at most",
+                "T: `LeaseTerms::longest_contradiction`",
+                bounds.longest_contradiction,
+            ),
+            row("offer to in force, nothing fails", "the leader's wait, messages aside", bounds.in_force),
+            row(
+                "offer to in force, the leader lost",
+                "wait + two silences + the new leader's wait",
+                bounds.in_force_with_election,
+            ),
+        ];
+        format!(
+            "## How long two routers may contradict each other\n\nThe argument is in `docs/agreement.md`, \"The bound\". A region \
+             that is apart acts on no lease after one lease, so that the bound holds in it too; but no change reaches it before \
+             it is back, {} h at the longest. What an act needs to reach a host comes on top.\n\n{}",
+            plain(self.target.faults.region_apart_hours),
+            table(["what", "how", "time", &format!("of {} s allowed", plain(allowed))], rows)
+        )
+    }
+
+    pub(super) fn services_and_routers(&self) -> String {
+        let (mean, peak) = (self.target.mean_requests(), self.target.load.peak_requests_per_second);
+        let rows = End::all(self.target).into_iter().map(|end| {
+            [
+                end.name.to_string(),
+                plain(end.services_per_router),
+                plain(end.routers_per_service),
+                plain(end.hosts_per_router),
+                Unit::PerSecond.text(end.service_requests(mean)),
+                Unit::PerSecond.text(end.service_requests(peak)),
+                Unit::PerSecond.text(end.router_requests(peak)),
+            ]
+        });
+        let head = [
+            "assumption",
+            "services at a router",
+            "routers of a service",
+            "hosts in its tables",
+            "requests of a service at a router, mean",
+            "at the peak",
+            "all requests at a router, peak",
+        ];
+        format!(
+            "## How services meet routers\n\nThe target does not say it. Both ends are worked out; sizes of services are skewed, so \
+             that the largest is taken as well. Services are alike in the first two rows.\n\n{}",
+            table(head, rows.collect())
+        )
+    }
+
+    pub(super) fn evidence(&self) -> String {
+        let mut text = format!(
+            "## What routers can know of a build\n\nA router votes a build back by {} answers of its own at the least \
+             (`ENOUGH_ANSWERS`), and by {} where it is late at every one (`CONVICTS`). A stage lasts as long as \
+             `Router::verdict` waits where one vote is enough: the bake time and a second ({} s), up to three times that where \
+             a mean router has too few answers. Mean traffic; routers by a Poisson count. Counts of the release controller, \
+             where it tells them, add to this (`docs/design.md`).\n",
+            plain(evidence::ENOUGH_ANSWERS),
+            plain(evidence::CONVICTS),
+            plain(self.target.terms.stage_bake_seconds + evidence::AFTER_BAKE)
+        );
+        for end in End::all(self.target) {
+            let stages = evidence::stages(self.target, &end, self.target.mean_requests());
+            text += &format!("\n{} ({} routers):\n\n", end.name, plain(end.routers_per_service));
+            let head = [
+                "stage",
+                "part of the traffic",
+                "answers/s, one router",
+                "all routers",
+                "one router in the stage",
+                "stage lasts",
+                "enough after",
+                "convicts after",
+                "routers with enough",
+                "that convict",
+                "verdict by own answers",
+            ];
+            text += &table(head, stages.iter().map(stage_row).collect());
+        }
+        text
+    }
+
+    pub(super) fn measured_lines(&self) -> String {
+        let mut text = format!(
+            "## Measured lines\n\nPoints from runs; the fit is computed here, its residual is the largest share by which it misses \
+             a point. A measured size is read as measured, any other by the fit. Fewer than {ENOUGH_POINTS} sizes and uses beyond \
+             {} times the largest are marked where they are used.\n\n",
+            plain(FAR)
+        );
+        if self.slopes.lines.is_empty() {
+            return text + "None yet.\n";
+        }
+        let head = [
+            "line",
+            "unit",
+            "points (size: value, least-most)",
+            "fit",
+            "residual",
+            "held",
+            "command",
+            "run",
+            "date",
+        ];
+        text += &table(head, self.slopes.lines.iter().map(line_row).collect());
+        text
+    }
+}
+
+fn join<const N: usize>(values: [f64; N]) -> String {
+    values.map(plain).join(", ")
+}
+
+/// A number of routers on the average.
+fn few(routers: f64) -> String {
+    if routers < LEAST_ROUTERS {
+        return format!("under {LEAST_ROUTERS}");
+    }
+    plain(routers)
+}
+
+fn stage_row(stage: &StageEvidence) -> [String; 11] {
+    [
+        stage.stage.to_string(),
+        plain(stage.trial_traffic),
+        plain(stage.answers_per_second),
+        plain(stage.fleet_answers_per_second),
+        plain(stage.answers),
+        Unit::Seconds.text(stage.lasts),
+        Unit::Seconds.text(stage.enough_after),
+        Unit::Seconds.text(stage.convicts_after),
+        few(stage.routers_with_enough),
+        few(stage.routers_that_convict),
+        stage.verdict().to_string(),
+    ]
+}
+
+fn line_row(line: &Line) -> [String; 9] {
+    let fit = line.fit();
+    let form = fit.map_or("none".into(), |fit| form_text(fit.form, &line.per));
+    let caution = line.caution().map_or(String::new(), |caution| format!("; {caution}"));
+    let held: Vec<String> = line.held.iter().map(|(name, value)| format!("{name} {value}")).collect();
+    [
+        line.id.clone(),
+        line.unit.clone(),
+        line.points.iter().map(point_text).collect::<Vec<_>>().join("; "),
+        form + &caution,
+        fit.map_or("-".into(), |fit| format!("{}%", plain(fit.residual * 100.0))),
+        held.join(", "),
+        format!("`{}`", line.command),
+        format!("`runs/{}`", line.run),
+        line.date.clone(),
+    ]
+}
+
+fn point_text(point: &Point) -> String {
+    let spread = match (point.min, point.max) {
+        (Some(min), Some(max)) if min < max => format!(" ({}-{})", plain(min), plain(max)),
+        _ => String::new(),
+    };
+    format!("{}: {}{spread}", plain(point.size), plain(point.value))
+}
+
+fn form_text(form: Form, per: &str) -> String {
+    match form {
+        Form::Linear { intercept, slope } => format!("{} + {} x {per}", plain(intercept), plain(slope)),
+        Form::Power { factor, exponent } => format!("{} x {per}^{}", plain(factor), plain(exponent)),
+    }
+}
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/placement.rs
@@ -0,0 +1,86 @@
+//! Where the control machines stand, what each does, and what the loss of one costs.
+
+use super::target::Target;
+
+/// What a control machine is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    Voter,
+    Relay,
+    ListSource,
+    ReleaseController,
+    Spare,
+}
+
+impl Duty {
+    pub fn name(self) -> &'static str {
+        match self {
+            Duty::Voter => "voter",
+            Duty::Relay => "relay (missing: idle until there is one)",
+            Duty::ListSource => "list source",
+            Duty::ReleaseController => "release controller, operator's tool",
+            Duty::Spare => "spare",
+        }
+    }
+
+    /// What carries it today.
+    pub fn mechanism(self) -> &'static str {
+        match self {
+            Duty::Voter => "`spokeflow-keeper`",
+            Duty::Relay => "missing",
+            Duty::ListSource => "the operators' own; `spokeflow-keeper --list` reads it",
+            Duty::ReleaseController => "the operators' own; `spokeflow-fleet`",
+            Duty::Spare => "`spokeflow-keeper --join`, to replace a voter",
+        }
+    }
+}
+
+/// Machines of one duty in one region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// From 1.
+    pub region: usize,
+    pub duty: Duty,
+    pub machines: usize,
+}
+
+/// Places the control machines: voters in as many regions as there are, then what reads and steers in the regions that
+/// have fewest machines, then a relay in each region while machines last, then spares.
+pub fn place(target: &Target) -> Vec<Placed> {
+    let regions = target.fleet.regions as usize;
+    let machines = target.fleet.control_machines as usize;
+    let voters = target.terms.voters as usize;
+    let mut left = machines - voters.min(machines);
+    let mut duties = vec![Duty::Voter; voters.min(machines)];
+    let wanted =
+        [(Duty::ListSource, 1), (Duty::ReleaseController, 1), (Duty::Relay, regions), (Duty::Spare, left)];
+    for (duty, count) in wanted {
+        let given = count.min(left);
+        duties.extend(vec![duty; given]);
+        left -= given;
+    }
+    spread(&duties, regions)
+}
+
+/// Gives each duty to a region without one of the same, of these to the one with the fewest machines.
+fn spread(duties: &[Duty], regions: usize) -> Vec<Placed> {
+    let mut placed: Vec<Placed> = Vec::new();
+    for &duty in duties {
+        let count = |region: usize, of: Option<Duty>| -> usize {
+            let here = placed.iter().filter(|p| p.region == region && of.is_none_or(|duty| p.duty == duty));
+            here.map(|p| p.machines).sum()
+        };
+        let region = (1..=regions).min_by_key(|r| (count(*r, Some(duty)), count(*r, None), *r)).unwrap_or(1);
+        match placed.iter_mut().find(|p| p.region == region && p.duty == duty) {
+            Some(known) => known.machines += 1,
+            None => placed.push(Placed { region, duty, machines: 1 }),
+        }
+    }
+    placed.sort_by_key(|p| p.region);
+    placed
+}
+
+/// Voters that may be lost while the others still form a majority.
+pub fn voters_to_spare(voters: f64) -> f64 {
+    ((voters - 1.0) / 2.0).floor()
+}
--- a/crates/spokeflow-lab/src/capacity/records.rs
+++ b/crates/spokeflow-lab/src/capacity/records.rs
@@ -11,30 +11,33 @@
 /// Who has a cost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Role {
-    #[serde(rename = "router data side")]
+    #[serde(rename = "router data side", alias = "router_data_side")]
     RouterData,
-    #[serde(rename = "router control side")]
+    #[serde(rename = "router control side", alias = "router_control_side")]
     RouterControl,
-    #[serde(rename = "hollow router")]
+    #[serde(rename = "hollow router", alias = "hollow_router")]
     HollowRouter,
-    #[serde(rename = "real router")]
+    #[serde(rename = "real router", alias = "real_router")]
     RealRouter,
     #[serde(rename = "voter")]
     Voter,
-    #[serde(rename = "voter leader")]
+    #[serde(rename = "voter leader", alias = "voter_leader")]
     VoterLeader,
-    #[serde(rename = "voter follower")]
+    #[serde(rename = "voter follower", alias = "voter_follower")]
     VoterFollower,
-    #[serde(rename = "relay or cache")]
+    #[serde(rename = "relay or cache", alias = "relay_or_cache")]
     Relay,
-    #[serde(rename = "list source")]
+    #[serde(rename = "list source", alias = "list_source")]
     ListSource,
-    #[serde(rename = "release controller")]
+    #[serde(rename = "release controller", alias = "release_controller")]
     ReleaseController,
     #[serde(rename = "operator's tool")]
     Tool,
     #[serde(rename = "fleet")]
     Fleet,
+    /// What measures, on the same machine.
+    #[serde(rename = "harness")]
+    Harness,
 }
 
 impl fmt::Display for Role {
@@ -52,6 +55,7 @@
             Role::ReleaseController => "release controller",
             Role::Tool => "operator's tool",
             Role::Fleet => "fleet",
+            Role::Harness => "harness",
         })
     }
 }
@@ -75,6 +79,9 @@
     /// Spread over repeated runs; none where the run was not repeated.
     pub min: Option<f64>,
     pub max: Option<f64>,
+    /// What the spread is taken over, such as the processes of one run.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spread_of: Option<String>,
     pub held: Held,
     pub command: String,
     pub date: String,
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/rows/control.rs
@@ -0,0 +1,161 @@
+//! The router's control side: its lease, the revisions and the host list.
+
+use super::super::estimate::{Estimate, Need};
+use super::super::limits;
+use super::super::records::Role;
+use super::super::remedy::Remedy;
+use super::super::row::{Budget, Row, Unit};
+use super::super::situation::{Situation, WindowLoad};
+use super::{Inputs, BYTES_PER_KB, BYTES_PER_MB};
+
+const LINK: &str = "`spokeflow-router`, `KeeperLink`; `spokeflow-agreed`, `Holder`";
+/// One to a voter, one to the list source, one to the release controller.
+const CONNECTIONS: f64 = 3.0;
+pub const OFFER_FITS: &str = "an offer of this size is accepted";
+
+pub fn rows(inputs: &Inputs) -> Vec<Row> {
+    let target = inputs.target;
+    let budget = &target.budget;
+    let bytes =
+        Budget::new(budget.control_kb_per_second * BYTES_PER_KB, "control bytes a second of a router");
+    let memory = Budget::new(budget.control_memory_mb * BYTES_PER_MB, "control memory of a router");
+    let cores = Budget::new(budget.control_core_share, "share of a core for a router's control");
+    let bound = Budget::new(target.load.change_bound_seconds, "a change is in force everywhere");
+    let frame = || Budget::new(limits::CALLER_FRAME, "frame limit between a voter and a router");
+    vec![
+        Row::varying(Role::RouterControl, "bytes without changes of settings", Unit::BytesPerSecond, |s| {
+            inputs.per_second(without_changes(inputs, &inputs.load(s)))
+        })
+        .within(bytes.clone())
+        .by(LINK)
+        .mended_by(Remedy::ListInParts),
+        Row::varying(Role::RouterControl, "bytes of changes of one tenant each", Unit::BytesPerSecond, |s| {
+            inputs.per_second(changes(inputs, &inputs.load(s)))
+        })
+        .within(bytes)
+        .by(LINK)
+        .mended_by(Remedy::ChangesByTenant)
+        .reached_after(OFFER_FITS),
+        Row::varying(Role::RouterControl, "messages", Unit::PerSecond, |s| {
+            Estimate::given(messages(inputs, &inputs.load(s)))
+        })
+        .by(LINK),
+        Row::steady(
+            Role::RouterControl,
+            "message with the whole host list (at each start)",
+            Unit::Bytes,
+            inputs.list_grant(),
+        )
+        .within(frame())
+        .by(LINK)
+        .mended_by(Remedy::ListInParts),
+        Row::steady(
+            Role::RouterControl,
+            "message with a change of one tenant",
+            Unit::Bytes,
+            inputs.change_grant(),
+        )
+        .within(frame())
+        .by(LINK)
+        .mended_by(Remedy::ChangesByTenant)
+        .reached_after(OFFER_FITS),
+        Row::varying(Role::RouterControl, "processor", Unit::Cores, |s| {
+            process(inputs, "processor_share", s)
+        })
+        .within(cores)
+        .by(LINK)
+        .mended_by(Remedy::LeanControl),
+        Row::varying(Role::RouterControl, "memory", Unit::Bytes, |s| process(inputs, "memory_peak", s))
+            .within(memory)
+            .by(LINK)
+            .mended_by(Remedy::LeanControl),
+        Row::varying(
+            Role::RouterControl,
+            "bytes measured on the link, both ways",
+            Unit::BytesPerSecond,
+            |s| process(inputs, "bytes_sent", s).plus(process(inputs, "bytes_received", s)),
+        )
+        .within(Budget::new(
+            budget.control_kb_per_second * BYTES_PER_KB,
+            "control bytes a second of a router",
+        ))
+        .by(LINK)
+        .mended_by(Remedy::ListInParts),
+        Row::varying(Role::RouterControl, "time from offer to in force, worst", Unit::Seconds, |s| {
+            in_force(inputs, s)
+        })
+        .within(bound.clone())
+        .by("`spokeflow-agreed`, `Granter::ready`")
+        .mended_by(Remedy::RelayPerRegion),
+        Row::varying(Role::RouterControl, "time to ready after a start, worst", Unit::Seconds, |s| {
+            fleet_time(inputs, "time_to_ready_worst", s)
+        })
+        .within(bound)
+        .by(LINK)
+        .mended_by(Remedy::RelayPerRegion),
+        Row::steady(Role::RouterControl, "connections", Unit::Count, Estimate::given(CONNECTIONS)).by(LINK),
+    ]
+}
+
+/// Part of the whole list and of one revision that the router looked at needs beside what changes: of the ordinary time
+/// the average router, after a fault one that has just started.
+fn starts(inputs: &Inputs, load: &WindowLoad) -> f64 {
+    match load.situation {
+        Situation::Mean | Situation::Peak => load.starting_routers / inputs.target.fleet.routers,
+        Situation::Region => 0.0,
+        Situation::Restarts | Situation::Rack | Situation::Zone | Situation::PowerLoss => 1.0,
+    }
+}
+
+/// Bytes in a window at one router: its renewals, changed lines of the list, and the whole list or the missed lines
+/// where it starts or was apart.
+fn without_changes(inputs: &Inputs, load: &WindowLoad) -> Estimate {
+    let renewals = inputs.renewals_per_second() * inputs.target.load.change_bound_seconds;
+    let both_ways = inputs.renewal_request().plus(inputs.renewal_answer()).times(renewals);
+    let lines = load.host_lines + load.missed_host_lines.min(limits::LIST_CHANGES_KEPT);
+    let whole = inputs.list_grant().times(starts(inputs, load));
+    both_ways.plus(inputs.line_grants(lines)).plus(whole)
+}
+
+/// Bytes in a window at one router: each change, and the newest revision where it starts or was apart.
+fn changes(inputs: &Inputs, load: &WindowLoad) -> Estimate {
+    let newest = if load.rejoining_routers > 0.0 { 1.0 } else { starts(inputs, load) };
+    inputs.change_grant().times(load.changes + newest)
+}
+
+/// A request and an answer for each renewal; a change makes one renewal come early.
+fn messages(inputs: &Inputs, load: &WindowLoad) -> f64 {
+    let early = load.changes / inputs.target.load.change_bound_seconds;
+    2.0 * (inputs.renewals_per_second() + early)
+}
+
+/// The phase of the scale run that is nearest to a situation.
+pub fn scale_phase(situation: Situation) -> &'static str {
+    match situation {
+        Situation::Mean => "quiet",
+        Situation::Peak => "changes",
+        Situation::Restarts | Situation::Rack => "churn",
+        Situation::Zone => "zone",
+        Situation::Region => "region",
+        Situation::PowerLoss => "start",
+    }
+}
+
+/// The greatest of what was measured over routers, hosts and tenants, the others held.
+pub fn over_sizes(inputs: &Inputs, role: Role, quantity: &'static str, phase: &'static str) -> Estimate {
+    let fleet = &inputs.target.fleet;
+    let sizes = [("routers", fleet.routers), ("hosts", fleet.hosts), ("tenants", fleet.tenants)];
+    Estimate::greatest(sizes.map(|(per, size)| inputs.measured(Need { role, quantity, phase, per }, size)))
+}
+
+fn process(inputs: &Inputs, quantity: &'static str, situation: Situation) -> Estimate {
+    over_sizes(inputs, Role::HollowRouter, quantity, scale_phase(situation))
+}
+
+fn fleet_time(inputs: &Inputs, quantity: &'static str, situation: Situation) -> Estimate {
+    over_sizes(inputs, Role::Fleet, quantity, scale_phase(situation))
+}
+
+fn in_force(inputs: &Inputs, situation: Situation) -> Estimate {
+    fleet_time(inputs, "offer_to_in_force_worst", situation)
+}
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/rows/data.rs
@@ -0,0 +1,101 @@
+//! The router's data side: what a request costs there.
+
+use super::super::ends::End;
+use super::super::estimate::{Estimate, Need};
+use super::super::limits::BEATS_PER_SECOND;
+use super::super::records::Role;
+use super::super::remedy::Remedy;
+use super::super::row::{Budget, Row, Unit};
+use super::super::situation::Situation;
+use super::Inputs;
+
+const MODULE: &str = "`spokeflow-core`, `Router`";
+const SECONDS_PER_MICROSECOND: f64 = 1e-6;
+const SECONDS_PER_MILLISECOND: f64 = 1e-3;
+
+pub fn rows(inputs: &Inputs) -> Vec<Row> {
+    let ends = End::all(inputs.target);
+    ends.iter().flat_map(|end| end_rows(inputs, end)).collect()
+}
+
+fn end_rows(inputs: &Inputs, end: &End) -> Vec<Row> {
+    let target = inputs.target;
+    let name = |what: &str| format!("{what}; {}", end.name);
+    let cores =
+        Budget::new(target.assumptions.router_cores, "cores that one deciding task can use (assumed)");
+    let added = Budget::new(
+        target.budget.added_milliseconds * SECONDS_PER_MILLISECOND,
+        "time added to 99 of 100 requests, of which this is a part",
+    );
+    vec![
+        Row::varying(Role::RouterData, name("processor"), Unit::Cores, |s| processor(inputs, end, s))
+            .within(cores)
+            .by(MODULE)
+            .mended_by(Remedy::KeptFigures),
+        Row::varying(Role::RouterData, name("work for one request"), Unit::Seconds, |s| work(inputs, end, s))
+            .within(added)
+            .by(MODULE)
+            .mended_by(Remedy::KeptFigures),
+        Row::varying(Role::RouterData, name("memory of the module's state"), Unit::Bytes, |s| {
+            memory(inputs, end, s)
+        })
+        .by(MODULE),
+        Row::varying(Role::RouterData, name("requests"), Unit::PerSecond, |s| requests(inputs, end, s))
+            .by("`spokeflow-router`, `serve`"),
+        Row::steady(
+            Role::RouterData,
+            name("connections to hosts"),
+            Unit::Count,
+            Estimate::given(end.hosts_per_router),
+        )
+        .by("`spokeflow-router`, `hosts`: one to each listed host"),
+    ]
+}
+
+/// What the module was doing when it was measured that is nearest to a situation.
+fn phase(situation: Situation) -> &'static str {
+    match situation {
+        Situation::Mean | Situation::Region | Situation::PowerLoss => "quiet",
+        Situation::Peak => "trial",
+        Situation::Restarts | Situation::Rack | Situation::Zone => "changing",
+    }
+}
+
+/// Seconds of one core for a quantity that is measured in microseconds over hosts.
+fn module_work(inputs: &Inputs, quantity: &'static str, end: &End, situation: Situation) -> Estimate {
+    let need = Need { role: Role::RouterData, quantity, phase: phase(situation), per: "hosts" };
+    inputs.measured(need, end.hosts_per_router).times(SECONDS_PER_MICROSECOND)
+}
+
+fn work(inputs: &Inputs, end: &End, situation: Situation) -> Estimate {
+    module_work(inputs, "work per command", end, situation)
+}
+
+fn requests_per_second(inputs: &Inputs, end: &End, situation: Situation) -> f64 {
+    let load = inputs.load(situation);
+    end.router_requests(load.requests_per_second) / load.routers_up
+}
+
+fn requests(inputs: &Inputs, end: &End, situation: Situation) -> Estimate {
+    Estimate::given(requests_per_second(inputs, end, situation))
+}
+
+fn processor(inputs: &Inputs, end: &End, situation: Situation) -> Estimate {
+    let commands = work(inputs, end, situation).times(requests_per_second(inputs, end, situation));
+    let beats = module_work(inputs, "work per wake-up", end, situation).times(BEATS_PER_SECOND);
+    commands.plus(beats)
+}
+
+fn memory(inputs: &Inputs, end: &End, situation: Situation) -> Estimate {
+    let target = inputs.target;
+    let in_flight = requests_per_second(inputs, end, situation)
+        * target.assumptions.answer_milliseconds
+        * SECONDS_PER_MILLISECOND;
+    let each = |quantity, per, count: f64| {
+        let need = Need { role: Role::RouterData, quantity, phase: "quiet", per };
+        inputs.measured(need, count).times(count)
+    };
+    each("bytes per host", "hosts", end.hosts_per_router)
+        .plus(each("bytes per tenant", "tenants", target.fleet.tenants))
+        .plus(each("bytes per command in flight", "commands in flight", in_flight))
+}
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/rows/others.rs
@@ -0,0 +1,106 @@
+//! Relay or cache, list source, release controller, operator's tool.
+
+use super::super::encoded;
+use super::super::estimate::Estimate;
+use super::super::limits;
+use super::super::records::Role;
+use super::super::remedy::Remedy;
+use super::super::row::{Budget, Row, Unit};
+use super::super::situation::WindowLoad;
+use super::control::OFFER_FITS;
+use super::{Inputs, BYTES_PER_MB};
+
+pub fn rows(inputs: &Inputs) -> Vec<Row> {
+    let mut rows = relay_rows(inputs);
+    rows.extend(source_rows(inputs));
+    rows.extend(controller_rows(inputs));
+    rows.extend(tool_rows(inputs));
+    rows
+}
+
+/// There is no relay: what one would spare the ways between regions.
+fn relay_rows(inputs: &Inputs) -> Vec<Row> {
+    let regions = inputs.target.fleet.regions;
+    let routers = inputs.target.fleet.routers / regions;
+    vec![
+        Row::varying(
+            Role::Relay,
+            "host list lines into one region, to each router",
+            Unit::BytesPerSecond,
+            |s| {
+                let load = inputs.load(s);
+                let starts = inputs.list_grant().times(load.starting_routers / regions);
+                inputs.per_second(inputs.line_grants(load.host_lines).times(routers).plus(starts))
+            },
+        ),
+        Row::varying(Role::Relay, "the same to one relay", Unit::BytesPerSecond, |s| {
+            let load = inputs.load(s);
+            let start = if load.starting_routers >= inputs.target.fleet.routers { 1.0 } else { 0.0 };
+            let lines = inputs.line_grants(load.host_lines);
+            inputs.per_second(lines.plus(inputs.list_grant().times(start)))
+        }),
+    ]
+}
+
+fn source_rows(inputs: &Inputs) -> Vec<Row> {
+    let target = inputs.target;
+    let network = target.assumptions.control_machine_mb_per_second * BYTES_PER_MB;
+    let whole = inputs.per_hosts(Role::ListSource, encoded::LIST_MESSAGE);
+    let watchers = target.fleet.routers + 1.0;
+    const LINKS: &str =
+        "`spokeflow-router`, `ListLink`; `spokeflow-keeper`, `ListLink`; the source is not ours";
+    vec![
+        Row::varying(Role::ListSource, "bytes sent", Unit::BytesPerSecond, |s| {
+            inputs.per_second(source_sends(inputs, &inputs.load(s), watchers))
+        })
+        .within(Budget::new(network, "network of a control machine (assumed)"))
+        .by(LINKS)
+        .mended_by(Remedy::OneListReader),
+        Row::steady(Role::ListSource, "message with the whole host list", Unit::Bytes, whole)
+            .within(Budget::new(limits::LIST_FRAME, "frame limit of the list source"))
+            .by(LINKS)
+            .mended_by(Remedy::ListInParts),
+        Row::steady(Role::ListSource, "connections", Unit::Count, Estimate::given(watchers)).by(LINKS),
+    ]
+}
+
+/// The leader reads the whole list again and again; each router watches it beside the list of the voters.
+fn source_sends(inputs: &Inputs, load: &WindowLoad, watchers: f64) -> Estimate {
+    let whole = inputs.per_hosts(Role::ListSource, encoded::LIST_MESSAGE);
+    let line = inputs.per_hosts(Role::ListSource, encoded::HOST_MESSAGE);
+    let readings = inputs.target.load.change_bound_seconds / limits::WHOLE_LIST_EVERY;
+    whole.times(readings + load.starting_routers).plus(line.times(load.host_lines * watchers))
+}
+
+fn controller_rows(inputs: &Inputs) -> Vec<Row> {
+    let routers = inputs.target.fleet.routers;
+    vec![
+        Row::steady(Role::ReleaseController, "connections", Unit::Count, Estimate::given(routers))
+            .by("`spokeflow-router`, `desk`; the controller is not ours"),
+        Row::varying(Role::ReleaseController, "bytes, votes and counts", Unit::BytesPerSecond, |_| {
+            Estimate {
+                missing: ["release controller: bytes by routers".to_string()].into(),
+                ..Estimate::default()
+            }
+        })
+        .by("`spokeflow-proto`, `ToDesk`, `FromDesk`"),
+    ]
+}
+
+fn tool_rows(inputs: &Inputs) -> Vec<Row> {
+    let offer = inputs.per_tenants(Role::Tool, encoded::TENANT_OFFER);
+    let record = inputs.per_tenants(Role::Voter, encoded::TENANT_RECORD);
+    let status = record.times(limits::REVISIONS_KEPT);
+    let frame = || Budget::new(limits::CALLER_FRAME, "frame limit between a voter and a person");
+    vec![
+        Row::steady(Role::Tool, "offer that changes one tenant", Unit::Bytes, offer)
+            .within(frame())
+            .by("`spokeflow-fleet offer`")
+            .mended_by(Remedy::ChangesByTenant),
+        Row::steady(Role::Tool, "answer to `status`, with 500 revisions", Unit::Bytes, status)
+            .within(frame())
+            .by("`spokeflow-fleet status`")
+            .mended_by(Remedy::ChangesByTenant)
+            .reached_after(OFFER_FITS),
+    ]
+}
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/rows/voter.rs
@@ -0,0 +1,209 @@
+//! The leading voter: leases, the log, the ledger.
+
+use super::super::encoded;
+use super::super::estimate::Estimate;
+use super::super::limits;
+use super::super::records::Role;
+use super::super::remedy::Remedy;
+use super::super::row::{Budget, Row, Unit};
+use super::super::situation::WindowLoad;
+use super::control::{over_sizes, scale_phase, OFFER_FITS};
+use super::{Inputs, BYTES_PER_MB};
+
+const KEEPER: &str = "`spokeflow-keeper`; `spokeflow-agreed`, `Keeper`";
+const GRANTER: &str = "`spokeflow-agreed`, `Granter`";
+const LEDGER: &str = "`spokeflow-agreed`, `Ledger`";
+const LOG: &str = "`spokeflow-quorum`, `Member`";
+/// The part of a second that changes may be under way, one at a time.
+const ALL_THE_TIME: f64 = 1.0;
+
+pub fn rows(inputs: &Inputs) -> Vec<Row> {
+    let mut rows = link_rows(inputs);
+    rows.extend(state_rows(inputs));
+    rows.extend(process_rows(inputs));
+    rows
+}
+
+fn link_rows(inputs: &Inputs) -> Vec<Row> {
+    let target = inputs.target;
+    let network = || {
+        let bytes = target.assumptions.control_machine_mb_per_second * BYTES_PER_MB;
+        Budget::new(bytes, "network of a control machine (assumed)")
+    };
+    let callers = Budget::new(target.terms.callers_at_most, "callers of one voter, `--callers-at-most`");
+    let leases = Budget::new(limits::LEASES_KEPT, "leases that a leader keeps in mind");
+    let voters = Budget::new(limits::VOTER_FRAME, "frame limit between voters");
+    let connections = target.fleet.routers + 2.0 * (target.terms.voters - 1.0);
+    vec![
+        Row::varying(
+            Role::VoterLeader,
+            "bytes sent without changes of settings",
+            Unit::BytesPerSecond,
+            |s| inputs.per_second(sent_without_changes(inputs, &inputs.load(s))),
+        )
+        .within(network())
+        .by(GRANTER)
+        .mended_by(Remedy::RelayPerRegion),
+        Row::varying(
+            Role::VoterLeader,
+            "bytes sent for changes of one tenant each",
+            Unit::BytesPerSecond,
+            |s| inputs.per_second(sent_for_changes(inputs, &inputs.load(s))),
+        )
+        .within(network())
+        .by(GRANTER)
+        .mended_by(Remedy::ChangesByTenant)
+        .reached_after(OFFER_FITS),
+        Row::steady(Role::VoterLeader, "bytes received in renewals", Unit::BytesPerSecond, received(inputs))
+            .within(network())
+            .by(GRANTER)
+            .mended_by(Remedy::LeaseInBatches),
+        Row::varying(Role::VoterLeader, "messages of leases", Unit::PerSecond, |s| {
+            let changes = inputs.load(s).changes / target.load.change_bound_seconds;
+            Estimate::given(2.0 * target.fleet.routers * (inputs.renewals_per_second() + changes))
+        })
+        .by(GRANTER),
+        Row::varying(Role::VoterLeader, "one message that catches a voter up", Unit::Bytes, |s| {
+            let load = inputs.load(s);
+            let entries =
+                load.changes.max(load.missed_changes).clamp(1.0, limits::ENTRIES_PER_MESSAGE).round();
+            entry(inputs).times(entries)
+        })
+        .within(voters)
+        .by(LOG)
+        .mended_by(Remedy::ChangesByTenant)
+        .reached_after(OFFER_FITS),
+        Row::steady(
+            Role::VoterLeader,
+            "connections, all routers at one voter",
+            Unit::Count,
+            Estimate::given(connections),
+        )
+        .within(callers)
+        .by(KEEPER)
+        .mended_by(Remedy::RelayPerRegion),
+        Row::steady(Role::VoterLeader, "leases kept", Unit::Count, Estimate::given(target.fleet.routers))
+            .within(leases)
+            .by(GRANTER)
+            .mended_by(Remedy::LeaseInBatches),
+        Row::varying(Role::VoterLeader, "part of the time that a change is under way", Unit::Count, |s| {
+            Estimate::given(change_time_share(inputs, &inputs.load(s)))
+        })
+        .within(Budget::new(ALL_THE_TIME, "changes are announced one at a time"))
+        .by("`spokeflow-agreed`, `Ledger::announced`")
+        .mended_by(Remedy::ManyChangesAtOnce),
+    ]
+}
+
+fn state_rows(inputs: &Inputs) -> Vec<Row> {
+    let state = ledger_state(inputs);
+    let memory = inputs.target.assumptions.control_machine_mb * BYTES_PER_MB;
+    vec![
+        Row::steady(Role::Voter, "state kept: host list and 500 revisions", Unit::Bytes, state.clone())
+            .within(Budget::new(memory, "memory of a control machine (assumed)"))
+            .by(LEDGER)
+            .mended_by(Remedy::ChangesByTenant)
+            .reached_after(OFFER_FITS),
+        Row::steady(Role::Voter, "one message with a snapshot of that state", Unit::Bytes, state)
+            .within(Budget::new(limits::VOTER_FRAME, "frame limit between voters"))
+            .by(LEDGER)
+            .mended_by(Remedy::ChangesByTenant)
+            .reached_after(OFFER_FITS),
+        Row::steady(
+            Role::Voter,
+            "one message with a snapshot of the host list",
+            Unit::Bytes,
+            inputs.per_hosts(Role::Voter, encoded::LIST_STATE),
+        )
+        .within(Budget::new(limits::VOTER_FRAME, "frame limit between voters"))
+        .by(LEDGER)
+        .mended_by(Remedy::ListInParts),
+        Row::varying(
+            Role::Voter,
+            "bytes synced to disk by changes of one tenant each",
+            Unit::BytesPerSecond,
+            |s| inputs.per_second(entry(inputs).times(inputs.load(s).changes)),
+        )
+        .by("`spokeflow-keeper`, `Store`")
+        .reached_after(OFFER_FITS),
+    ]
+}
+
+fn process_rows(inputs: &Inputs) -> Vec<Row> {
+    let assumed = &inputs.target.assumptions;
+    let rows = [Role::VoterLeader, Role::VoterFollower].map(|role| {
+        [
+            Row::varying(role, "processor", Unit::Cores, |s| {
+                over_sizes(inputs, role, "processor_share", scale_phase(s))
+            })
+            .within(Budget::new(assumed.voter_cores, "cores that a voter's one thread can use (assumed)"))
+            .by(KEEPER)
+            .mended_by(Remedy::RelayPerRegion),
+            Row::varying(role, "memory", Unit::Bytes, |s| {
+                over_sizes(inputs, role, "memory_peak", scale_phase(s))
+            })
+            .within(Budget::new(
+                assumed.control_machine_mb * BYTES_PER_MB,
+                "memory of a control machine (assumed)",
+            ))
+            .by(KEEPER)
+            .mended_by(Remedy::RelayPerRegion),
+            Row::varying(role, "bytes sent, measured on its links", Unit::BytesPerSecond, |s| {
+                over_sizes(inputs, role, "bytes_sent", scale_phase(s))
+            })
+            .within(Budget::new(
+                assumed.control_machine_mb_per_second * BYTES_PER_MB,
+                "network of a control machine (assumed)",
+            ))
+            .by(KEEPER)
+            .mended_by(Remedy::RelayPerRegion),
+        ]
+    });
+    rows.into_iter().flatten().collect()
+}
+
+/// Bytes in a window, to all routers and to the other voters.
+fn sent_without_changes(inputs: &Inputs, load: &WindowLoad) -> Estimate {
+    let target = inputs.target;
+    let renewals = inputs.renewals_per_second() * target.load.change_bound_seconds * target.fleet.routers;
+    let list_lines = inputs.line_grants(load.host_lines).times(target.fleet.routers);
+    let starts = inputs.list_grant().times(load.starting_routers);
+    let missed_lines = inputs.line_grants(load.missed_host_lines.min(limits::LIST_CHANGES_KEPT));
+    let log = inputs.per_hosts(Role::Voter, encoded::HOST_ENTRY).times(load.host_lines * others(inputs));
+    let rejoins = missed_lines.times(load.rejoining_routers);
+    inputs.renewal_answer().times(renewals).plus(list_lines).plus(starts).plus(rejoins).plus(log)
+}
+
+fn sent_for_changes(inputs: &Inputs, load: &WindowLoad) -> Estimate {
+    let lack_one = load.starting_routers + load.rejoining_routers;
+    let grants = load.changes * inputs.target.fleet.routers + lack_one;
+    let log = entry(inputs).times(load.changes * others(inputs));
+    inputs.change_grant().times(grants).plus(log)
+}
+
+fn received(inputs: &Inputs) -> Estimate {
+    inputs.renewal_request().times(inputs.renewals_per_second() * inputs.target.fleet.routers)
+}
+
+fn entry(inputs: &Inputs) -> Estimate {
+    inputs.per_tenants(Role::Voter, encoded::TENANT_ENTRY)
+}
+
+fn ledger_state(inputs: &Inputs) -> Estimate {
+    let record = inputs.per_tenants(Role::Voter, encoded::TENANT_RECORD);
+    // The revision in force is kept beside its record.
+    let revisions = record.times(limits::REVISIONS_KEPT + 1.0);
+    inputs.per_hosts(Role::Voter, encoded::LIST_STATE).plus(revisions)
+}
+
+/// Voters beside the leader.
+fn others(inputs: &Inputs) -> f64 {
+    inputs.target.terms.voters - 1.0
+}
+
+/// At the longest: each change waits for one lease.
+fn change_time_share(inputs: &Inputs, load: &WindowLoad) -> f64 {
+    let terms = &inputs.target.terms;
+    let longest = terms.lease_seconds * (1.0 + terms.clock_drift);
+    load.changes * longest / inputs.target.load.change_bound_seconds
+}
--- /dev/null
+++ b/crates/spokeflow-lab/tests/capacity.rs
@@ -0,0 +1,250 @@
+//! The capacity page: it is what the command prints, its inputs are checked, its constants are the programs'.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use clap::Parser;
+use spokeflow_keeper::KeeperFlags;
+use spokeflow_lab::capacity::{evidence, limits, read_records, Target};
+use spokeflow_router::ServiceFlags;
+
+const TARGET: &str = "docs/capacity/target.toml";
+const SLOPES: &str = "docs/capacity/slopes.json";
+const RUNS: &str = "docs/capacity/runs";
+const PAGE: &str = "docs/CAPACITY.md";
+const FIXTURES: &str = "crates/spokeflow-lab/tests/fixtures/capacity-runs";
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_spokeflow-lab")).current_dir(root()).args(args).output().unwrap()
+}
+
+fn printed(output: &Output) -> String {
+    assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+fn read(file: impl AsRef<Path>) -> String {
+    std::fs::read_to_string(root().join(file)).unwrap()
+}
+
+/// A file of the test's own, removed with it.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn new(name: &str, text: &str) -> Scratch {
+        let file = std::env::temp_dir().join(format!("spokeflow-capacity-{}-{name}", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        Scratch(file)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Lines made of the fixtures, which are no runs.
+fn fixture_slopes(name: &str) -> Scratch {
+    let out = Scratch::new(name, "");
+    printed(&lab(&["collect-slopes", "--runs", FIXTURES, "--out", out.path()]));
+    out
+}
+
+fn page(target: &str, slopes: &str) -> String {
+    printed(&lab(&["capacity", "--target", target, "--slopes", slopes]))
+}
+
+fn section<'a>(page: &'a str, head: &str) -> &'a str {
+    let from = page.find(&format!("## {head}\n")).unwrap_or_else(|| panic!("no section '{head}'"));
+    let rest = &page[from + 3..];
+    &rest[..rest.find("\n## ").unwrap_or(rest.len())]
+}
+
+#[test]
+fn the_page_is_what_the_command_prints() {
+    let text = page(TARGET, SLOPES);
+    assert!(text.len() > 5000);
+    assert!(text == read(PAGE), "print it anew: spokeflow-lab capacity > {PAGE}");
+}
+
+#[test]
+fn the_lines_are_what_the_runs_say() {
+    let out = Scratch::new("collected.json", "");
+    printed(&lab(&["collect-slopes", "--runs", RUNS, "--out", out.path()]));
+    assert!(
+        std::fs::read_to_string(out.path()).unwrap() == read(SLOPES),
+        "collect them anew: collect-slopes"
+    );
+}
+
+#[test]
+fn the_bytes_are_what_the_codecs_give() {
+    let kept = read_records(&root().join(RUNS).join("bytes.json")).unwrap();
+    let out = Scratch::new("bytes.json", "");
+    printed(&lab(&["measure-bytes", "--out", out.path(), "--date", &kept[0].date]));
+    assert_eq!(read_records(&out.0).unwrap(), kept);
+}
+
+#[test]
+fn without_lines_nothing_is_measured_and_nothing_is_made_up() {
+    let slopes = Scratch::new("none.json", r#"{"lines": []}"#);
+    let text = page(TARGET, slopes.path());
+    assert!(section(&text, "Over budget").contains("Nothing that was measured is over its budget."));
+    assert!(section(&text, "Measured lines").contains("None yet."));
+    let missing = section(&text, "Not measured");
+    for what in ["offer that changes one tenant", "work per command", "processor_share"] {
+        assert!(missing.contains(what), "{what}: {missing}");
+    }
+}
+
+#[test]
+fn the_first_mechanism_is_the_one_of_the_largest_ratio() {
+    let slopes = fixture_slopes("first.json");
+    let text = page(TARGET, slopes.path());
+    let first = section(&text, "What to build first");
+    assert!(first.contains("**Figures kept in the decision module**"), "{first}");
+    let over = section(&text, "Over budget");
+    let ratios: Vec<f64> =
+        over.lines().filter_map(|line| line.strip_prefix("| ")?.split(" | ").next()?.parse().ok()).collect();
+    assert!(ratios.len() >= 2 && ratios.is_sorted_by(|a, b| a >= b), "{ratios:?}");
+}
+
+#[test]
+fn another_target_is_a_changed_file() {
+    let slopes = fixture_slopes("small.json");
+    let small = read(TARGET)
+        .replace("hosts = 12000", "hosts = 320")
+        .replace("largest_service_hosts = 1000", "largest_service_hosts = 60")
+        .replace("name = \"two years out\"", "name = \"a small one\"");
+    let target = Scratch::new("small.toml", &small);
+    let text = page(target.path(), slopes.path());
+    assert!(text.starts_with("# Capacity: what \"a small one\" costs today"));
+    assert!(section(&text, "What to build first").contains("No measured row"), "{text}");
+}
+
+#[test]
+fn lines_of_few_sizes_and_far_uses_are_marked() {
+    let slopes = fixture_slopes("marks.json");
+    let text = page(TARGET, slopes.path());
+    let row = text.lines().find(|line| line.starts_with("| processor | 1 cores")).unwrap();
+    assert!(row.contains("!~"), "1300 routers of two sizes up to 300: {row}");
+    assert!(section(&text, "Measured lines").contains("two points only"));
+    assert!(text.contains("30: 0.0110 (0.0100-0.0120)"), "the median and the spread of three");
+}
+
+#[test]
+fn rows_are_printed_for_machines() {
+    let rows = printed(&lab(&["capacity", "--target", TARGET, "--slopes", SLOPES, "--json"]));
+    let rows: Vec<serde_json::Value> = serde_json::from_str(&rows).unwrap();
+    let offer = rows.iter().find(|row| row["quantity"] == "offer that changes one tenant").unwrap();
+    let value = offer["cells"][0]["estimate"]["value"].as_f64().unwrap();
+    let kept = read_records(&root().join(RUNS).join("bytes.json")).unwrap();
+    let measured = kept.iter().find(|r| r.quantity.starts_with("offer") && r.size == 33_000.0).unwrap();
+    assert_eq!(value, measured.value);
+}
+
+#[derive(Parser)]
+struct Voter {
+    #[command(flatten)]
+    flags: KeeperFlags,
+}
+
+#[derive(Parser)]
+struct Router {
+    #[command(flatten)]
+    flags: ServiceFlags,
+}
+
+#[test]
+fn the_terms_are_the_defaults_of_the_programs() {
+    let terms = Target::read(&root().join(TARGET)).unwrap().terms;
+    let voter = Voter::parse_from(["voter", "--id=1", "--store=unused"]).flags;
+    assert_eq!(terms.lease_seconds, voter.lease.as_secs_f64());
+    assert_eq!(terms.silence_seconds, voter.silence.as_secs_f64());
+    assert_eq!(terms.clock_drift, voter.drift);
+    assert_eq!(terms.callers_at_most, voter.callers_at_most as f64);
+    let router = Router::parse_from(["router", "--op=any:redeliverable:target=1s:timeout=60s"]).flags;
+    assert_eq!(terms.stage_shares, router.stage_shares);
+    assert_eq!(terms.stage_caps, router.stage_caps);
+    assert_eq!(terms.stage_bake_seconds, router.stage_bake.as_secs_f64());
+}
+
+/// Limits that other crates keep to themselves are copied: their source has to say the same.
+#[test]
+fn copied_constants_are_those_of_the_source() {
+    let says = [
+        (
+            "crates/spokeflow-keeper/src/calls.rs",
+            "const ASK_LIMIT: usize = 64 << 10;",
+            limits::CALLER_FRAME,
+            65_536.0,
+        ),
+        ("crates/spokeflow-agreed/src/ledger.rs", "const KEPT: usize = 500;", limits::REVISIONS_KEPT, 500.0),
+        (
+            "crates/spokeflow-agreed/src/granter.rs",
+            "const HOLDERS: usize = 8192;",
+            limits::LEASES_KEPT,
+            8192.0,
+        ),
+        (
+            "crates/spokeflow-agreed/src/hosts.rs",
+            "const CHANGES: usize = 4096;",
+            limits::LIST_CHANGES_KEPT,
+            4096.0,
+        ),
+        ("crates/spokeflow-agreed/src/holder.rs", "self.terms.held() / 3", limits::RENEWALS_PER_LEASE, 3.0),
+        (
+            "crates/spokeflow-keeper/src/list.rs",
+            "const WHOLE_EVERY: Duration = Duration::from_secs(2);",
+            limits::WHOLE_LIST_EVERY,
+            2.0,
+        ),
+        (
+            "crates/spokeflow-quorum/src/member.rs",
+            "const AT_ONCE: usize = 64;",
+            limits::ENTRIES_PER_MESSAGE,
+            64.0,
+        ),
+        (
+            "crates/spokeflow-core/src/router.rs",
+            "const BEAT: Micros = 20 * MS;",
+            limits::BEATS_PER_SECOND,
+            50.0,
+        ),
+        (
+            "crates/spokeflow-core/src/router.rs",
+            "const ENOUGH_ANSWERS: u32 = 3;",
+            evidence::ENOUGH_ANSWERS,
+            3.0,
+        ),
+        (
+            "crates/spokeflow-core/src/router.rs",
+            "const SEND_BACK_AT: f64 = 4.0;",
+            evidence::SEND_BACK_AT,
+            4.0,
+        ),
+        ("crates/spokeflow-core/src/router.rs", "const LATE_WEIGHT: f64 = 0.4;", evidence::LATE_WEIGHT, 0.4),
+        ("crates/spokeflow-core/src/router.rs", "const LATE_MARGIN: f64 = 0.6;", evidence::LATE_MARGIN, 0.6),
+        ("crates/spokeflow-core/src/router.rs", "const LANE_OF_CAP: f64 = 0.7;", evidence::LANE_OF_CAP, 0.7),
+        (
+            "crates/spokeflow-core/src/router.rs",
+            "const REPIN_OF_CAP: f64 = 0.9;",
+            evidence::REPIN_OF_CAP,
+            0.9,
+        ),
+        ("crates/spokeflow-core/src/router.rs", "const AHEAD: f64 = 1.25;", evidence::AHEAD, 1.25),
+    ];
+    for (file, text, copied, value) in says {
+        assert!(read(file).contains(text), "{file} does not say '{text}'");
+        assert_eq!(copied, value, "{text}");
+    }
+}
