--- a/crates/spokeflow-lab/src/capacity/records.rs
+++ b/crates/spokeflow-lab/src/capacity/records.rs
@@ -89,9 +89,58 @@
 
 /// Reads one run's records.
 ///
-/// Errors: the file, and the entry that is missing, unknown or of a wrong type.
+/// Errors: the file, and the entry that is missing, unknown, of a wrong type or out of its limits.
 pub fn read_records(file: &Path) -> Result<Vec<Record>, CapacityError> {
-    parse_json(file, &read_text(file)?)
+    let records: Vec<Record> = parse_json(file, &read_text(file)?)?;
+    for (n, record) in records.iter().enumerate() {
+        if let Some((entry, wanted)) = record.fault() {
+            return Err(CapacityError::new(file, format!("[{n}].{entry}"), format!("{wanted} wanted")));
+        }
+    }
+    Ok(records)
+}
+
+impl Record {
+    /// The first entry that is out of its limits, and what is wanted there.
+    fn fault(&self) -> Option<(&'static str, &'static str)> {
+        let texts = [
+            ("quantity", &self.quantity),
+            ("unit", &self.unit),
+            ("phase", &self.phase),
+            ("size_of", &self.size_of),
+            ("command", &self.command),
+            ("date", &self.date),
+        ];
+        if let Some((entry, _)) = texts.iter().find(|(_, text)| text.trim().is_empty()) {
+            return Some((entry, "a text"));
+        }
+        if !is_size(self.size) {
+            return Some(("size", "a number above 0 and at most 1e15"));
+        }
+        if !is_value(self.value) {
+            return Some(("value", "a number from 0 to 1e15"));
+        }
+        (!is_spread(self.min, self.value, self.max)).then_some(("min", SPREAD))
+    }
+}
+
+/// Largest size and value that are believed.
+const SANE: f64 = 1e15;
+/// What is wanted of a spread.
+pub const SPREAD: &str = "min from 0 to value, and max from value to 1e15";
+
+/// Whether something can be measured at this size.
+pub fn is_size(size: f64) -> bool {
+    size > 0.0 && size <= SANE
+}
+
+pub fn is_value(value: f64) -> bool {
+    (0.0..=SANE).contains(&value)
+}
+
+/// Whether a value lies within its spread, as far as that is told.
+pub fn is_spread(min: Option<f64>, value: f64, max: Option<f64>) -> bool {
+    min.is_none_or(|min| (0.0..=value).contains(&min)) && max.is_none_or(|max| (value..=SANE).contains(&max))
 }
 
 /// Reads JSON and names the entry that does not fit.
--- a/crates/spokeflow-lab/src/capacity/slopes.rs
+++ b/crates/spokeflow-lab/src/capacity/slopes.rs
@@ -6,14 +6,12 @@
 
 use super::error::{read_text, CapacityError};
 use super::fit::Fit;
-use super::records::{parse_json, Held, Role};
+use super::records::{is_size, is_spread, is_value, parse_json, Held, Role, SPREAD};
 
 /// Sizes that a line is measured at, at least.
 pub const ENOUGH_POINTS: usize = 4;
 /// A line that is used beyond so many times its largest measured size says so.
 pub const FAR: f64 = 4.0;
-/// Largest size and value that are believed.
-const SANE: f64 = 1e15;
 
 /// A value at a size, with its spread where the run was repeated.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -147,16 +145,14 @@
         return fault("points".into(), "at least one point");
     }
     for (k, point) in line.points.iter().enumerate() {
-        if !(point.size > 0.0 && point.size <= SANE) {
+        if !is_size(point.size) {
             return fault(format!("points[{k}].size"), "a number above 0 and at most 1e15");
         }
-        if !(0.0..=SANE).contains(&point.value) {
+        if !is_value(point.value) {
             return fault(format!("points[{k}].value"), "a number from 0 to 1e15");
         }
-        let spread_holds = point.min.is_none_or(|min| (0.0..=point.value).contains(&min))
-            && point.max.is_none_or(|max| (point.value..=SANE).contains(&max));
-        if !spread_holds {
-            return fault(format!("points[{k}].min"), "min from 0 to value, and max from value to 1e15");
+        if !is_spread(point.min, point.value, point.max) {
+            return fault(format!("points[{k}].min"), SPREAD);
         }
         if k > 0 && point.size <= line.points[k - 1].size {
             return fault(format!("points[{k}].size"), "sizes that rise from point to point");
--- a/crates/spokeflow-lab/tests/capacity_inputs.rs
+++ b/crates/spokeflow-lab/tests/capacity_inputs.rs
@@ -184,9 +184,11 @@
     let cases = [
         (r#""value": 2, "#, "", vec!["[0]", "missing field `value`"]),
         (r#""size": 1"#, r#""size": 1, "sise": 2"#, vec!["[0].sise", "unknown field"]),
-        (r#""size": 1"#, r#""size": -1"#, vec!["points[0].size", "above 0"]),
+        (r#""size": 1"#, r#""size": -1"#, vec!["[0].size", "above 0"]),
+        (r#""value": 2"#, r#""value": 1e300"#, vec!["[0].value", "to 1e15"]),
+        (r#""min": null"#, r#""min": 3"#, vec!["[0].min", "from 0 to value"]),
         (r#""role": "voter""#, r#""role": "ruler""#, vec!["[0].role", "unknown variant"]),
-        (r#""command": "c""#, r#""command": """#, vec!["command", "a text wanted"]),
+        (r#""command": "c""#, r#""command": """#, vec!["[0].command", "a text wanted"]),
     ];
     for (from, to, named) in cases {
         let text = RECORD.replacen(from, to, 1);
