--- a/crates/spokeflow-lab/src/capacity/rows/control.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/control.rs
@@ -36,6 +36,13 @@
         .by(LINK)
         .mended_by(Remedy::ChangesByTenant)
         .reached_after(OFFER_FITS),
+        Row::steady(
+            Role::RouterControl,
+            "state kept: host list and the newest revision, as encoded",
+            Unit::Bytes,
+            inputs.list_grant().plus(inputs.change_grant()),
+        )
+        .by(LINK),
         Row::varying(Role::RouterControl, "messages", Unit::PerSecond, |s| {
             Estimate::given(messages(inputs, &inputs.load(s)))
         })
--- a/crates/spokeflow-lab/src/capacity/rows/others.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/others.rs
@@ -60,6 +60,17 @@
             .within(Budget::new(limits::LIST_FRAME, "frame limit of the list source"))
             .by(LINKS)
             .mended_by(Remedy::ListInParts),
+        Row::varying(Role::ListSource, "messages, each changed line told by itself", Unit::PerSecond, |s| {
+            Estimate::given(source_messages(inputs, &inputs.load(s), watchers))
+        })
+        .by(LINKS),
+        Row::steady(
+            Role::ListSource,
+            "state kept, as encoded",
+            Unit::Bytes,
+            inputs.per_hosts(Role::ListSource, encoded::LIST_MESSAGE),
+        )
+        .by(LINKS),
         Row::steady(Role::ListSource, "connections", Unit::Count, Estimate::given(watchers)).by(LINKS),
     ]
 }
@@ -72,6 +83,12 @@
     whole.times(readings + load.starting_routers).plus(line.times(load.host_lines * watchers))
 }
 
+/// Each changed line to each watcher, each watch renewed, and the leader's readings, asked and answered.
+fn source_messages(inputs: &Inputs, load: &WindowLoad, watchers: f64) -> f64 {
+    let changes = load.host_lines * watchers / inputs.target.load.change_bound_seconds;
+    changes + 2.0 * watchers / limits::WATCH_RENEWED_EVERY + 2.0 / limits::WHOLE_LIST_EVERY
+}
+
 fn controller_rows(inputs: &Inputs) -> Vec<Row> {
     let routers = inputs.target.fleet.routers;
     vec![
--- a/crates/spokeflow-lab/src/capacity/rows/voter.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/voter.rs
@@ -63,6 +63,21 @@
             Estimate::given(2.0 * target.fleet.routers * (inputs.renewals_per_second() + changes))
         })
         .by(GRANTER),
+        Row::steady(
+            Role::VoterFollower,
+            "messages of leases, its own callers' and to the leader",
+            Unit::PerSecond,
+            Estimate::given(passed_on(inputs)),
+        )
+        .by("`spokeflow-agreed`, `Keeper::pass_on`"),
+        Row::steady(
+            Role::VoterFollower,
+            "connections",
+            Unit::Count,
+            Estimate::given(callers_of_one(inputs) + 2.0 * others(inputs)),
+        )
+        .within(callers.clone())
+        .by(KEEPER),
         Row::varying(Role::VoterLeader, "one message that catches a voter up", Unit::Bytes, |s| {
             let load = inputs.load(s);
             let entries =
@@ -196,6 +211,16 @@
     inputs.per_hosts(Role::Voter, encoded::LIST_STATE).plus(revisions)
 }
 
+/// Routers that ask one voter, where each voter has as many.
+fn callers_of_one(inputs: &Inputs) -> f64 {
+    (inputs.target.fleet.routers / inputs.target.terms.voters).ceil()
+}
+
+/// A request and an answer from and to a router, and the same to and from the leader.
+fn passed_on(inputs: &Inputs) -> f64 {
+    4.0 * callers_of_one(inputs) * inputs.renewals_per_second()
+}
+
 /// Voters beside the leader.
 fn others(inputs: &Inputs) -> f64 {
     inputs.target.terms.voters - 1.0
--- a/crates/spokeflow-lab/tests/capacity.rs
+++ b/crates/spokeflow-lab/tests/capacity.rs
@@ -152,6 +152,60 @@
     assert_eq!(value, measured.value);
 }
 
+/// Writes runs, made up for a test, into a folder of its own and collects them.
+fn collected(name: &str, runs: &[(&str, serde_json::Value)]) -> (Scratch, serde_json::Value) {
+    let folder = std::env::temp_dir().join(format!("spokeflow-runs-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    for (file, records) in runs {
+        std::fs::write(folder.join(file), records.to_string()).unwrap();
+    }
+    let out = Scratch::new(name, "");
+    printed(&lab(&["collect-slopes", "--runs", folder.to_str().unwrap(), "--out", out.path()]));
+    std::fs::remove_dir_all(folder).unwrap();
+    let slopes = serde_json::from_str(&std::fs::read_to_string(out.path()).unwrap()).unwrap();
+    (out, slopes)
+}
+
+fn work(hosts: f64, micros: f64, held: serde_json::Value) -> serde_json::Value {
+    serde_json::json!({"role": "router data side", "quantity": "work per command", "unit": "us", "phase": "quiet",
+        "size_of": "hosts", "size": hosts, "value": micros, "min": micros, "max": micros, "held": held,
+        "command": "made up", "date": "2000-01-01"})
+}
+
+#[test]
+fn what_was_measured_before_a_change_gives_way_to_what_was_measured_after() {
+    let runs = |micros: f64| serde_json::json!([work(38.0, micros, serde_json::json!({}))]);
+    let (slopes, _) =
+        collected("before.json", &[("work-after.json", runs(7.0)), ("work-before.json", runs(900.0))]);
+    let text = page(TARGET, slopes.path());
+    let row = text.lines().find(|line| line.starts_with("| work for one request; each service has")).unwrap();
+    assert!(row.contains("| 7 us~ "), "{row}");
+}
+
+#[test]
+fn sweeps_with_other_sizes_held_are_lines_of_their_own() {
+    let held = |routers: u32, given: u32| serde_json::json!({"routers": routers, "commands_given": given});
+    let records = serde_json::json!([
+        work(10.0, 1.0, held(30, 100)),
+        work(20.0, 2.0, held(30, 200)),
+        work(10.0, 5.0, held(300, 100)),
+        work(10.0, 7.0, held(300, 100)),
+        work(10.0, 6.0, held(300, 100)),
+    ]);
+    let (_, slopes) = collected("sweeps.json", &[("run.json", records)]);
+    let lines = slopes["lines"].as_array().unwrap();
+    assert_eq!(lines.len(), 2, "{slopes}");
+    let of = |routers: u32| lines.iter().find(|line| line["held"]["routers"] == routers).unwrap();
+    assert_eq!(
+        of(30)["points"].as_array().unwrap().len(),
+        2,
+        "what differs from point to point parts no line"
+    );
+    assert_eq!(of(30)["held"], serde_json::json!({"routers": 30}));
+    let repeated = &of(300)["points"][0];
+    assert_eq!(*repeated, serde_json::json!({"size": 10.0, "value": 6.0, "min": 5.0, "max": 7.0}));
+}
+
 #[derive(Parser)]
 struct Voter {
     #[command(flatten)]
