Core: the order by hash is kept once, and searched with the hosts' own ranks

Cause: each list change moved four words for each host behind the changed one.

Change: two words; the ranks stand with the other figures of a host.

--- a/crates/spokeflow-core/src/state/hosts.rs
+++ b/crates/spokeflow-core/src/state/hosts.rs
@@ -307,7 +307,6 @@
     fn member(&self, h: usize, warm: bool, bounded: bool) -> Member {
         Member {
             host: h,
-            rank: self.rank[h],
             size: self.line[h].size,
             started: self.line[h].started.unwrap_or(0),
             warm,
@@ -325,7 +324,7 @@
         let bounded = self.bounded.insert(started, h, now);
         self.young.insert(started, h, now);
         let member = self.member(h, !warms, bounded);
-        self.ready.entry(self.build[h]).or_default().join(member);
+        self.ready.entry(self.build[h]).or_default().join(member, &self.rank);
         self.ready_count += 1;
         self.note_trouble(h);
     }
@@ -340,7 +339,7 @@
         self.young.remove(started, h);
         let member = self.member(h, !warms, bounded);
         if let Some(ready) = self.ready.get_mut(&self.build[h]) {
-            ready.leave(member);
+            ready.leave(member, &self.rank);
             if ready.is_empty() {
                 self.ready.remove(&self.build[h]);
             }
@@ -457,7 +456,7 @@
         } else if pool.is_ordered_as(ready.by_index()) {
             pool.doubt(by_index, others.into_iter().filter_map(|h| ready.index_position(h)));
         } else if pool.is_ordered_as(ready.by_rank()) {
-            pool.doubt(by_rank, others.into_iter().map(|h| ready.rank_position(self.rank[h], h)));
+            pool.doubt(by_rank, others.into_iter().map(|h| ready.rank_position(&self.rank, h)));
         } else {
             pool.doubt_all();
         }
--- a/crates/spokeflow-core/src/state/ready.rs
+++ b/crates/spokeflow-core/src/state/ready.rs
@@ -9,8 +9,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Member {
     pub host: usize,
-    /// Place among the hosts of a build where they are ordered by hash.
-    pub rank: f64,
     pub size: f64,
     pub started: Micros,
     pub warm: bool,
@@ -23,8 +21,6 @@
 #[derive(Debug, Default)]
 pub struct ReadyHosts {
     by_index: Arc<Vec<usize>>,
-    /// Hosts with their ranks, by rank.
-    ranks: Vec<(f64, usize)>,
     by_rank: Arc<Vec<usize>>,
     /// Hosts by the time of their start and by the bits of their size, which order as positive sizes do.
     starts: BTreeMap<Micros, usize>,
@@ -38,12 +34,12 @@
 }
 
 impl ReadyHosts {
-    pub fn join(&mut self, member: Member) {
+    /// Takes a host in; `ranks` has the place of each host where all are ordered by hash.
+    pub fn join(&mut self, member: Member, ranks: &[f64]) {
         let by_index = Arc::make_mut(&mut self.by_index);
         let position = by_index.partition_point(|&host| host < member.host);
         by_index.insert(position, member.host);
-        let position = self.rank_position(member.rank, member.host);
-        self.ranks.insert(position, (member.rank, member.host));
+        let position = self.rank_position(ranks, member.host);
         Arc::make_mut(&mut self.by_rank).insert(position, member.host);
         *self.starts.entry(member.started).or_default() += 1;
         *self.sizes.entry(member.size.to_bits()).or_default() += 1;
@@ -58,12 +54,11 @@
     }
 
     /// Undoes [`ReadyHosts::join`] of the same member.
-    pub fn leave(&mut self, member: Member) {
+    pub fn leave(&mut self, member: Member, ranks: &[f64]) {
         let by_index = Arc::make_mut(&mut self.by_index);
         let position = by_index.partition_point(|&host| host < member.host);
         by_index.remove(position);
-        let position = self.rank_position(member.rank, member.host);
-        self.ranks.remove(position);
+        let position = self.rank_position(ranks, member.host);
         Arc::make_mut(&mut self.by_rank).remove(position);
         take_one(&mut self.starts, member.started);
         take_one(&mut self.sizes, member.size.to_bits());
@@ -148,8 +143,9 @@
     }
 
     /// Where a host stands, or would stand, in [`ReadyHosts::by_rank`].
-    pub fn rank_position(&self, rank: f64, host: usize) -> usize {
-        self.ranks.partition_point(|other| other.0.total_cmp(&rank).then(other.1.cmp(&host)).is_lt())
+    pub fn rank_position(&self, ranks: &[f64], host: usize) -> usize {
+        let before = |other: &usize| ranks[*other].total_cmp(&ranks[host]).then(other.cmp(&host)).is_lt();
+        self.by_rank.partition_point(before)
     }
 }
 
