--- a/crates/spokeflow-agreed/src/keeper.rs
+++ b/crates/spokeflow-agreed/src/keeper.rs
@@ -135,20 +135,20 @@
 
     /// Where a keeper is to be found: as the flags say, else as the ledger does.
     pub fn address(&self, id: KeeperId) -> Option<&str> {
-        let known = self.terms.addresses.get(&id).or_else(|| self.ledger.seats.get(&id));
+        let known = self.terms.addresses.get(&id).or_else(|| self.ledger.addresses.get(&id));
         known.or_else(|| self.learned.get(&id)).map(String::as_str)
     }
 
     /// All that it knows of where keepers are to be found.
     pub fn addresses(&self) -> Vec<(KeeperId, String)> {
-        let ids = self.terms.addresses.keys().chain(self.ledger.seats.keys()).chain(self.learned.keys());
+        let ids = self.terms.addresses.keys().chain(self.ledger.addresses.keys()).chain(self.learned.keys());
         let ids: BTreeSet<KeeperId> = ids.copied().collect();
         ids.into_iter().filter_map(|id| Some((id, self.address(id)?.to_string()))).collect()
     }
 
     /// Another keeper said where some are to be found.
-    pub fn learn(&mut self, seats: &[(KeeperId, String)]) {
-        self.learned.extend(seats.iter().take(LEARNED).cloned());
+    pub fn learn(&mut self, addresses: &[(KeeperId, String)]) {
+        self.learned.extend(addresses.iter().take(LEARNED).cloned());
         while self.learned.len() > LEARNED {
             self.learned.pop_first();
         }
@@ -275,17 +275,20 @@
                 let act = Act::TrustList;
                 Some(self.member.offer(now, act.bytes(), out).map_or(Answer::NoLeader, |_| Answer::Begun))
             }
-            Ask::Seat { keeper, address } => {
+            Ask::SetAddress { keeper, address } => {
                 if address.parse::<std::net::SocketAddr>().is_err() {
                     return Some(Answer::Bad(format!("'{address}' is not an address with a port")));
                 }
-                let act = Act::Seat { keeper, address };
+                let act = Act::SetAddress { keeper, address };
                 Some(self.member.offer(now, act.bytes(), out).map_or(Answer::NoLeader, |_| Answer::Begun))
             }
             Ask::Members(members) => {
                 let unknown = members.iter().find(|m| self.address(**m).is_none());
                 if let Some(unknown) = unknown {
-                    return Some(Answer::Bad(format!("keeper {} has no seat yet", unknown.0)));
+                    return Some(Answer::Bad(format!(
+                        "no address of keeper {} is known yet: register it first",
+                        unknown.0
+                    )));
                 }
                 let begun = self.member.change(now, members, out);
                 let not = || {
@@ -341,7 +344,7 @@
             announced: self.ledger.announced.clone(),
             history: self.ledger.history.iter().cloned().collect(),
             members: self.member.members().to_vec(),
-            seats: self.ledger.seats.iter().map(|(k, a)| (*k, a.clone())).collect(),
+            addresses: self.ledger.addresses.iter().map(|(k, a)| (*k, a.clone())).collect(),
             leases: leases as u64,
             list: self.ledger.list.version.0,
             list_source: self.ledger.list.source,
--- a/crates/spokeflow-agreed/src/ledger.rs
+++ b/crates/spokeflow-agreed/src/ledger.rs
@@ -50,7 +50,7 @@
     /// The list's source may begin anew.
     TrustList,
     /// Where a keeper is to be found, before it is taken in.
-    Seat {
+    SetAddress {
         keeper: KeeperId,
         address: String,
     },
@@ -86,7 +86,8 @@
     pub announced: Option<Revision>,
     /// The newest last.
     pub history: VecDeque<Record>,
-    pub seats: BTreeMap<KeeperId, String>,
+    /// Where keepers are to be found, also those that do not vote yet.
+    pub addresses: BTreeMap<KeeperId, String>,
     pub list: AgreedList,
     verdicts: VecDeque<(u64, Verdict)>,
 }
@@ -116,8 +117,8 @@
             }
             Act::List(news) => self.list.apply(news),
             Act::TrustList => self.list.trust(),
-            Act::Seat { keeper, address } => {
-                self.seats.insert(keeper, address);
+            Act::SetAddress { keeper, address } => {
+                self.addresses.insert(keeper, address);
             }
         }
     }
--- a/crates/spokeflow-agreed/src/wire.rs
+++ b/crates/spokeflow-agreed/src/wire.rs
@@ -31,7 +31,7 @@
         processes: Vec<u64>,
         common: Common,
         /// Where it knows keepers to be found: one that joins has no ledger yet to find the leader by.
-        seats: Vec<(KeeperId, String)>,
+        addresses: Vec<(KeeperId, String)>,
     },
     Router {
         index: u32,
@@ -45,7 +45,7 @@
     Offer(Offer),
     View,
     /// Where a keeper is to be found; then it may be taken in.
-    Seat {
+    SetAddress {
         keeper: KeeperId,
         address: String,
     },
@@ -81,7 +81,9 @@
     /// The newest last.
     pub history: Vec<Record>,
     pub members: Vec<KeeperId>,
-    pub seats: Vec<(KeeperId, String)>,
+    /// Where keepers are to be found; under its earlier name in JSON, which scripts read.
+    #[serde(rename = "seats")]
+    pub addresses: Vec<(KeeperId, String)>,
     /// Leases that this leader has given and that hold, and how many of them act on the newest revision.
     pub leases: u64,
     /// Version of the list, the source's version behind it, hosts that are there, and why newer news is rejected.
--- a/crates/spokeflow-agreed/tests/wire.rs
+++ b/crates/spokeflow-agreed/tests/wire.rs
@@ -13,7 +13,7 @@
         announced: None,
         history: Vec::new(),
         members: vec![KeeperId(1)],
-        seats: vec![(KeeperId(1), "127.0.0.1:7500".into())],
+        addresses: vec![(KeeperId(1), "127.0.0.1:7500".into())],
         leases: 4,
         list: 5,
         list_source: 6,
--- a/crates/spokeflow-emulator/src/agreement.rs
+++ b/crates/spokeflow-emulator/src/agreement.rs
@@ -20,7 +20,7 @@
 use spokeflow_quorum::{KeeperId, QuorumTerms, Saved};
 
 use self::event::What;
-use self::keepers::Seat;
+use self::keepers::KeeperNode;
 use self::routers::Router;
 
 const MS: Micros = 1_000;
@@ -65,7 +65,7 @@
     terms: KeeperTerms,
     now: Micros,
     chance: StdRng,
-    seats: Vec<Seat>,
+    keepers: Vec<KeeperNode>,
     routers: Vec<Router>,
     due: BinaryHeap<Reverse<(Micros, u64)>>,
     whats: HashMap<u64, What>,
@@ -92,7 +92,7 @@
     let mut chance = StdRng::seed_from_u64(day.seed);
     let spread = 1.0 - day.drift..=1.0 + day.drift;
     // Two more than vote at first: they are taken in for others.
-    let seats = (0..day.keepers + 2).map(|_| Seat {
+    let keepers = (0..day.keepers + 2).map(|_| KeeperNode {
         core: None,
         start: 0,
         disk: Saved::default(),
@@ -102,7 +102,7 @@
         rate: chance.random_range(spread.clone()),
         wakes: Micros::MAX,
     });
-    let seats: Vec<Seat> = seats.collect();
+    let keepers: Vec<KeeperNode> = keepers.collect();
     let routers = (0..day.routers).map(|n| Router {
         lease_holder: LeaseHolder::new(terms.lease, u64::from(n), n),
         start: 0,
@@ -118,7 +118,7 @@
         terms,
         now: 10 * SECOND,
         chance,
-        seats,
+        keepers,
         routers,
         due: BinaryHeap::new(),
         whats: HashMap::new(),
@@ -129,7 +129,7 @@
         offer: None,
         played: AgreementPlayed::default(),
     };
-    (0..world.seats.len()).for_each(|n| world.start(n));
+    (0..world.keepers.len()).for_each(|n| world.start(n));
     for router in 0..world.routers.len() {
         let after = world.chance.random_range(0..SECOND);
         world.plan(after, What::RouterAsks { router, start: 0 });
@@ -166,11 +166,11 @@
     fn finish(mut self) -> AgreementPlayed {
         let waits = self.forced.iter().filter_map(|(n, at)| Some(at - self.told.get(n)?));
         self.played.waits = waits.collect();
-        for core in self.seats.iter().filter_map(|s| s.core.as_ref()) {
+        for core in self.keepers.iter().filter_map(|s| s.core.as_ref()) {
             self.played.terms = self.played.terms.max(core.member().term().0);
             self.played.kept_entries = self.played.kept_entries.max(core.member().kept());
         }
-        let state = self.seats.iter().map(|s| s.disk.snapshot.state.len()).max();
+        let state = self.keepers.iter().map(|s| s.disk.snapshot.state.len()).max();
         self.played.kept_state = state.unwrap_or(0);
         self.played
     }
@@ -201,8 +201,8 @@
             What::Answers { conn, .. } if conn >> 63 == 1 => Some((*conn as u32 >> 2) as usize),
             _ => None,
         };
-        if let Some(seat) = keeper.map(|n| &mut self.seats[n]).filter(|s| s.stopped) {
-            return seat.kept.push(what);
+        if let Some(node) = keeper.map(|n| &mut self.keepers[n]).filter(|s| s.stopped) {
+            return node.kept.push(what);
         }
         let router = match &what {
             What::RouterAsks { router, .. } | What::Acts { router, .. } => Some(*router),
@@ -222,7 +222,7 @@
             }
             What::Answers { conn, number, answer } if conn >> 63 == 1 => {
                 let n = (conn as u32 >> 2) as usize;
-                if self.seats[n].start == (conn >> 32) as u32 & 0x7fff_ffff {
+                if self.keepers[n].start == (conn >> 32) as u32 & 0x7fff_ffff {
                     self.call(n, |k, _, step| k.passed_back(number, answer, step));
                 }
             }
@@ -230,9 +230,9 @@
             What::Synced { keeper, start, write } => self.synced(keeper, start, write),
             // One that was planned before a sooner one has been overtaken by it.
             What::Wake { keeper, start }
-                if start == self.seats[keeper].start && self.now == self.seats[keeper].wakes =>
+                if start == self.keepers[keeper].start && self.now == self.keepers[keeper].wakes =>
             {
-                self.seats[keeper].wakes = Micros::MAX;
+                self.keepers[keeper].wakes = Micros::MAX;
                 self.call(keeper, |k, now, step| {
                     if k.next_wake(now) <= now {
                         k.woken(now, step);
@@ -249,12 +249,12 @@
             What::Offers => self.offers(),
             What::Fault => self.fault(),
             What::Mend(cut) => self.cuts.retain(|c| c.0 != cut),
-            What::KeeperGoes { keeper, start } if start == self.seats[keeper].start => {
-                self.seats[keeper].stopped = false;
-                for what in std::mem::take(&mut self.seats[keeper].kept) {
+            What::KeeperGoes { keeper, start } if start == self.keepers[keeper].start => {
+                self.keepers[keeper].stopped = false;
+                for what in std::mem::take(&mut self.keepers[keeper].kept) {
                     self.happens(what);
                 }
-                self.seats[keeper].wakes = Micros::MAX;
+                self.keepers[keeper].wakes = Micros::MAX;
                 self.wake(keeper);
             }
             What::RouterGoes { router, start } if start == self.routers[router].start => {
@@ -263,7 +263,7 @@
                     self.happens(what);
                 }
             }
-            What::Start { keeper } if self.seats[keeper].core.is_none() => self.start(keeper),
+            What::Start { keeper } if self.keepers[keeper].core.is_none() => self.start(keeper),
             What::Change => self.change(),
             _ => {}
         }
--- a/crates/spokeflow-emulator/src/agreement/faults.rs
+++ b/crates/spokeflow-emulator/src/agreement/faults.rs
@@ -12,17 +12,17 @@
         self.plan(next, What::Fault);
         self.played.faults += 1;
         let lasts = self.chance.random_range(100 * MS..self.day.lease * 2);
-        let (k, many) = (self.chance.random_range(0..self.seats.len()), self.seats.len());
+        let (k, many) = (self.chance.random_range(0..self.keepers.len()), self.keepers.len());
         let r = self.chance.random_range(0..self.routers.len());
         match self.chance.random_range(0..9) {
             0 | 1 => {
-                self.seats[k].core = None;
-                self.seats[k].stopped = false;
+                self.keepers[k].core = None;
+                self.keepers[k].stopped = false;
                 self.plan(lasts, What::Start { keeper: k });
             }
             2 => {
-                self.seats[k].stopped = true;
-                let start = self.seats[k].start;
+                self.keepers[k].stopped = true;
+                let start = self.keepers[k].start;
                 self.plan(lasts, What::KeeperGoes { keeper: k, start });
             }
             3 => {
@@ -43,7 +43,7 @@
             }
             5 if self.chance.random_bool(0.2) => {
                 for n in 0..many {
-                    (self.seats[n].core, self.seats[n].stopped) = (None, false);
+                    (self.keepers[n].core, self.keepers[n].stopped) = (None, false);
                     let apart = self.chance.random_range(0..SECOND);
                     self.plan(lasts + apart, What::Start { keeper: n });
                 }
--- a/crates/spokeflow-emulator/src/agreement/keepers.rs
+++ b/crates/spokeflow-emulator/src/agreement/keepers.rs
@@ -9,7 +9,7 @@
 use super::event::{keeper_conn, What, PERSON};
 use super::{World, MS};
 
-pub(super) struct Seat {
+pub(super) struct KeeperNode {
     pub(super) core: Option<Keeper>,
     pub(super) start: u32,
     pub(super) disk: Saved,
@@ -23,46 +23,46 @@
 
 impl World {
     pub(super) fn start(&mut self, n: usize) {
-        let now = self.clock(self.seats[n].rate);
+        let now = self.clock(self.keepers[n].rate);
         let seed = self.chance.random();
         let own = KeeperId(n as u32);
         let mut terms = KeeperTerms { own, ..self.terms.clone() };
         if n >= self.day.keepers as usize {
             terms.quorum.members.clear();
         }
-        let seat = &mut self.seats[n];
-        seat.start += 1;
-        (seat.stopped, seat.wrote, seat.wakes) = (false, 0, Micros::MAX);
-        seat.kept.clear();
-        match Keeper::new(terms, seed, seat.disk.clone(), now) {
-            Ok(core) => seat.core = Some(core),
+        let node = &mut self.keepers[n];
+        node.start += 1;
+        (node.stopped, node.wrote, node.wakes) = (false, 0, Micros::MAX);
+        node.kept.clear();
+        match Keeper::new(terms, seed, node.disk.clone(), now) {
+            Ok(core) => node.core = Some(core),
             Err(what) => self.played.broken = Some(format!("keeper {n} does not start: {what}")),
         }
         self.wake(n);
     }
 
     pub(super) fn wake(&mut self, n: usize) {
-        let seat = &self.seats[n];
-        let Some(core) = &seat.core else { return };
-        let now = self.clock(seat.rate);
-        let after = ((core.next_wake(now) - now).max(0) as f64 / seat.rate) as Micros + 1;
+        let node = &self.keepers[n];
+        let Some(core) = &node.core else { return };
+        let now = self.clock(node.rate);
+        let after = ((core.next_wake(now) - now).max(0) as f64 / node.rate) as Micros + 1;
         // One that is planned for sooner plans the next by itself.
-        if seat.wakes <= self.now + after && seat.wakes > self.now {
+        if node.wakes <= self.now + after && node.wakes > self.now {
             return;
         }
-        let start = seat.start;
-        self.seats[n].wakes = self.now + after;
+        let start = node.start;
+        self.keepers[n].wakes = self.now + after;
         self.plan(after, What::Wake { keeper: n, start });
     }
 
     pub(super) fn call(&mut self, n: usize, act: impl FnOnce(&mut Keeper, Micros, &mut Step)) {
-        let now = self.clock(self.seats[n].rate);
+        let now = self.clock(self.keepers[n].rate);
         let mut step = Step::default();
-        let Some(core) = &mut self.seats[n].core else { return };
+        let Some(core) = &mut self.keepers[n].core else { return };
         act(core, now, &mut step);
-        let start = self.seats[n].start;
+        let start = self.keepers[n].start;
         if step.changed {
-            let ledger = self.seats[n].core.as_ref().map(Keeper::ledger);
+            let ledger = self.keepers[n].core.as_ref().map(Keeper::ledger);
             let known = ledger.map(|l| (l.newest().0, l.in_force.number.0)).unwrap_or_default();
             for r in 1..=known.0 {
                 self.told.entry(r).or_insert(self.now);
@@ -101,7 +101,7 @@
         }
         let to = match conn >> 63 {
             1 => (conn as u32 >> 2) as usize,
-            _ => self.seats.len() + (conn as u32 >> 1) as usize,
+            _ => self.keepers.len() + (conn as u32 >> 1) as usize,
         };
         self.send(from, to, || What::Answers { conn, number, answer: answer.clone() });
     }
@@ -113,15 +113,15 @@
     }
 
     pub(super) fn synced(&mut self, keeper: usize, start: u32, write: Box<Write>) {
-        let seat = &mut self.seats[keeper];
-        if start != seat.start || seat.core.is_none() {
+        let node = &mut self.keepers[keeper];
+        if start != node.start || node.core.is_none() {
             return;
         }
-        if write.number != seat.wrote + 1 {
+        if write.number != node.wrote + 1 {
             return self.plan(MS, What::Synced { keeper, start, write });
         }
-        seat.disk.apply(&write);
-        seat.wrote = write.number;
+        node.disk.apply(&write);
+        node.wrote = write.number;
         self.call(keeper, |k, now, step| k.synced(now, write.number, step));
     }
 }
--- a/crates/spokeflow-emulator/src/agreement/people.rs
+++ b/crates/spokeflow-emulator/src/agreement/people.rs
@@ -22,9 +22,9 @@
             Offer { token, against, who, why, at_s: 0, values: Values::new() }
         });
         self.offer = Some(offer.clone());
-        let to = self.chance.random_range(0..self.seats.len());
+        let to = self.chance.random_range(0..self.keepers.len());
         let asker = Asker { conn: PERSON, number: 0, keeper: false };
-        if !self.seats[to].stopped {
+        if !self.keepers[to].stopped {
             self.call(to, |k, now, step| k.asked(now, asker, Ask::Offer(offer), step));
         }
     }
@@ -33,16 +33,18 @@
     pub(super) fn change(&mut self) {
         let after = self.chance.random_range(SECOND..4 * SECOND);
         self.plan(after, What::Change);
-        let drawn = KeeperId(self.chance.random_range(0..self.seats.len() as u32));
-        for n in 0..self.seats.len() {
-            let Some(core) = self.seats[n].core.as_ref().filter(|_| !self.seats[n].stopped) else { continue };
+        let drawn = KeeperId(self.chance.random_range(0..self.keepers.len() as u32));
+        for n in 0..self.keepers.len() {
+            let Some(core) = self.keepers[n].core.as_ref().filter(|_| !self.keepers[n].stopped) else {
+                continue;
+            };
             let mut members = core.member().members().to_vec();
             if !members.contains(&drawn) && members.len() < self.day.keepers as usize + 1 {
                 members.push(drawn);
             } else if members.len() > self.day.keepers as usize {
                 members.retain(|m| *m != drawn);
             }
-            let leads = core.member().speaks(self.clock(self.seats[n].rate));
+            let leads = core.member().speaks(self.clock(self.keepers[n].rate));
             if leads {
                 let asker = Asker { conn: PERSON, number: 0, keeper: false };
                 self.call(n, |k, now, step| k.asked(now, asker, Ask::Members(members), step));
--- a/crates/spokeflow-emulator/src/agreement/routers.rs
+++ b/crates/spokeflow-emulator/src/agreement/routers.rs
@@ -23,7 +23,7 @@
     pub(super) fn router_asks(&mut self, router: usize) {
         let now = self.clock(self.routers[router].rate);
         let waited = self.now - self.routers[router].answered;
-        let (n, many) = (self.seats.len(), self.seats.len());
+        let (n, many) = (self.keepers.len(), self.keepers.len());
         let r = &mut self.routers[router];
         if waited > r.lease_holder.every() + PATIENCE {
             (r.keeper, r.answered) = ((r.keeper + 1) % many, self.now);
@@ -37,7 +37,7 @@
 
     pub(super) fn answered(&mut self, conn: u64, number: u64, answer: Answer) {
         let router = (conn as u32 >> 1) as usize;
-        let many = self.seats.len();
+        let many = self.keepers.len();
         let r = &mut self.routers[router];
         if r.start != (conn >> 32) as u32 {
             return;
--- a/crates/spokeflow-fleet/src/main.rs
+++ b/crates/spokeflow-fleet/src/main.rs
@@ -60,8 +60,9 @@
     /// Waits until this revision, or a later one, is in force
     Watch { revision: u64 },
     /// Tells where a keeper is to be found, so that it may be taken in
-    Seat { keeper: u32, address: SocketAddr },
-    /// Takes a keeper in, whose seat is known
+    #[command(alias = "seat")]
+    Register { keeper: u32, address: SocketAddr },
+    /// Takes a keeper in, whose address is known
     TakeIn { keeper: u32 },
     /// Takes a keeper out, for good: its number is not used again
     TakeOut { keeper: u32 },
@@ -239,9 +240,9 @@
             })
         }
         What::Watch { revision } => common.wait_for(revision).await,
-        What::Seat { keeper, address } => {
+        What::Register { keeper, address } => {
             let (keeper, address) = (KeeperId(keeper), address.to_string());
-            common.ask(Ask::Seat { keeper, address }).await.map(drop)
+            common.ask(Ask::SetAddress { keeper, address }).await.map(drop)
         }
         What::TakeIn { keeper } => common.members(keeper, true).await,
         What::TakeOut { keeper } => common.members(keeper, false).await,
--- a/crates/spokeflow-keeper/src/arrival.rs
+++ b/crates/spokeflow-keeper/src/arrival.rs
@@ -22,7 +22,7 @@
         id: KeeperId,
         start: u64,
         processes: Vec<u64>,
-        seats: Vec<(KeeperId, String)>,
+        addresses: Vec<(KeeperId, String)>,
         answer: oneshot::Sender<Result<(), String>>,
     },
     /// Another keeper says that this one's disk is old.
--- a/crates/spokeflow-keeper/src/ask.rs
+++ b/crates/spokeflow-keeper/src/ask.rs
@@ -41,7 +41,7 @@
 /// Errors: nobody did within that time, with what the last one said.
 pub async fn ask(keepers: &[SocketAddr], ask: Ask, within: Duration) -> Result<Answer, String> {
     let until = Instant::now() + within;
-    let again = matches!(ask, Ask::Offer(_) | Ask::View | Ask::Seat { .. });
+    let again = matches!(ask, Ask::Offer(_) | Ask::View | Ask::SetAddress { .. });
     let mut last = "no keeper was named".to_string();
     while Instant::now() < until {
         for &keeper in keepers {
--- a/crates/spokeflow-keeper/src/calls.rs
+++ b/crates/spokeflow-keeper/src/calls.rs
@@ -65,7 +65,7 @@
         if magic != MAGIC || version != VERSION {
             return Err((Refusal::Version, format!("this end speaks version {VERSION} of keepers")));
         }
-        if let Caller::Keeper { id, start, processes, common, seats } = &caller {
+        if let Caller::Keeper { id, start, processes, common, addresses } = &caller {
             if *common != self.common {
                 let text = format!("keeper {} was told {common:?}, this one {:?}", id.0, self.common);
                 return Err((Refusal::Terms, text));
@@ -76,7 +76,7 @@
                 id: *id,
                 start: *start,
                 processes: processes.clone(),
-                seats: seats.clone(),
+                addresses: addresses.clone(),
                 answer,
             };
             let _ = self.core.send(asked).await;
--- a/crates/spokeflow-keeper/src/peers.rs
+++ b/crates/spokeflow-keeper/src/peers.rs
@@ -26,7 +26,7 @@
     pub address: SocketAddr,
     pub caller: Caller,
     /// Told with each call, as it is then.
-    pub seats: watch::Receiver<Vec<(KeeperId, String)>>,
+    pub addresses: watch::Receiver<Vec<(KeeperId, String)>>,
     pub pauses: Pauses,
     pub core: mpsc::Sender<Arrival>,
     pub queue: mpsc::Receiver<ToKeeper>,
@@ -66,8 +66,8 @@
         let _ = stream.set_nodelay(true);
         let mut link: Link = Framed::with_capacity(stream, FrameCodec::new(LIMIT), 4096);
         let mut caller = self.caller.clone();
-        if let Caller::Keeper { seats, .. } = &mut caller {
-            seats.clone_from(&self.seats.borrow());
+        if let Caller::Keeper { addresses, .. } = &mut caller {
+            addresses.clone_from(&self.addresses.borrow());
         }
         link.send(ToKeeper::hello(caller)).await.map_err(|_| None)?;
         match link.next().await {
--- a/crates/spokeflow-keeper/src/serve.rs
+++ b/crates/spokeflow-keeper/src/serve.rs
@@ -75,7 +75,7 @@
     callers: HashMap<u64, mpsc::Sender<(u64, Answer)>>,
     peers: BTreeMap<KeeperId, (SocketAddr, mpsc::Sender<ToKeeper>)>,
     met: BTreeMap<KeeperId, Start>,
-    seats: watch::Sender<Vec<(KeeperId, String)>>,
+    addresses: watch::Sender<Vec<(KeeperId, String)>>,
     to_disk: std::sync::mpsc::Sender<ToDisk>,
     steps: Arc<Steps>,
     /// What was last said of it in the log.
@@ -152,10 +152,10 @@
     /// All who vote are called at once, not when there is something to say: a start that only a few have met could be
     /// taken back unseen.
     fn reach(&mut self) {
-        let seats = self.keeper.addresses();
-        self.seats.send_if_modified(|s| {
-            *s != seats && {
-                *s = seats;
+        let addresses = self.keeper.addresses();
+        self.addresses.send_if_modified(|s| {
+            *s != addresses && {
+                *s = addresses;
                 true
             }
         });
@@ -171,8 +171,8 @@
             let (say, queue) = mpsc::channel(PEER_QUEUE);
             let pauses = Pauses::new(self.seed, u64::from(id.0), FIRST_PAUSE, LONGEST_PAUSE);
             let (caller, core) = (self.caller.clone(), self.core.clone());
-            let seats = self.seats.subscribe();
-            tokio::spawn(PeerLink { id, address, caller, seats, pauses, core, queue }.run());
+            let addresses = self.addresses.subscribe();
+            tokio::spawn(PeerLink { id, address, caller, addresses, pauses, core, queue }.run());
             self.peers.insert(id, (address, say));
         }
         self.peers.get(&id).map(|p| &p.1)
@@ -223,7 +223,7 @@
     }
     let (own, list) = (KeeperId(flags.id), flags.list);
     let common = flags.common();
-    let caller = Caller::Keeper { id: own, start, processes, common, seats: Vec::new() };
+    let caller = Caller::Keeper { id: own, start, processes, common, addresses: Vec::new() };
     let keeper = Keeper::new(terms, seed, saved, clock.now())?;
     let places = Arc::new(Semaphore::new(flags.callers_at_most));
     let mut shell = Shell {
@@ -234,7 +234,7 @@
         core: core.clone(),
         callers: HashMap::new(),
         peers: BTreeMap::new(),
-        seats: watch::Sender::new(Vec::new()),
+        addresses: watch::Sender::new(Vec::new()),
         met,
         to_disk,
         steps,
@@ -289,8 +289,8 @@
                 }
                 Arrival::Heard(from, message) => shell.keeper.heard(now, from, message, &mut step),
                 Arrival::PassedBack(number, answer) => shell.keeper.passed_back(number, answer, &mut step),
-                Arrival::Met { id, start, processes, seats, answer } => {
-                    shell.keeper.learn(&seats);
+                Arrival::Met { id, start, processes, addresses, answer } => {
+                    shell.keeper.learn(&addresses);
                     shell.meet(id, start, &processes, answer);
                     shell.reach();
                 }
--- a/crates/spokeflow-quorum/src/member.rs
+++ b/crates/spokeflow-quorum/src/member.rs
@@ -89,13 +89,13 @@
             promised: VecDeque::new(),
             round: 0,
         };
-        member.seat();
+        member.refresh_members();
         member.wait_for_leader();
         member
     }
 
     /// Who votes: as the newest entry says, else the snapshot, else the terms.
-    fn seat(&mut self) {
+    fn refresh_members(&mut self) {
         let newest = self.log.iter().rev().find_map(|e| match &e.body {
             Body::Members(members) => Some(members),
             _ => None,
@@ -245,7 +245,7 @@
         }
         self.log.truncate((keep.0 - self.snapshot.upto.0) as usize);
         self.log.extend_from_slice(&entries);
-        self.seat();
+        self.refresh_members();
         self.durable = self.durable.min(keep);
         self.written += 1;
         self.unsynced.push_back((self.written, keep, self.last()));
--- a/crates/spokeflow-standin/src/fleet/play.rs
+++ b/crates/spokeflow-standin/src/fleet/play.rs
@@ -385,7 +385,7 @@
         self.again(id).await;
         let known_all = self.known().await;
         let until = Instant::now() + Duration::from_secs(20);
-        let seated = Ask::Seat { keeper: KeeperId(id), address: known.to_string() };
+        let seated = Ask::SetAddress { keeper: KeeperId(id), address: known.to_string() };
         let _ = ask(&known_all, seated, Duration::from_secs(10)).await;
         while Instant::now() < until {
             let Ok(Answer::View(view)) = ask(&known_all, Ask::View, Duration::from_secs(5)).await else {
