--- a/crates/spokeflow-core/src/state/ready.rs
+++ b/crates/spokeflow-core/src/state/ready.rs
@@ -1,7 +1,7 @@
 //! Figures about the ready hosts of one build, and queues of hosts that started of late.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use crate::Micros;
 
@@ -9,11 +9,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Member {
     pub host: usize,
-    /// Place among the hosts of a build where they are ordered by hash.
-    pub rank: f64,
     pub size: f64,
     pub started: Micros,
     pub warm: bool,
+    /// What it is sent is bounded.
+    pub bounded: bool,
     pub heard: bool,
 }
 
@@ -21,24 +21,25 @@
 #[derive(Debug, Default)]
 pub struct ReadyHosts {
     by_index: Arc<Vec<usize>>,
-    /// Hosts with their ranks, by rank.
-    ranks: Vec<(f64, usize)>,
     by_rank: Arc<Vec<usize>>,
     /// Hosts by the time of their start and by the bits of their size, which order as positive sizes do.
     starts: BTreeMap<Micros, usize>,
     sizes: BTreeMap<u64, usize>,
+    bounded: BTreeSet<usize>,
+    /// Where the bounded hosts stand by index and by rank, from the first use after a change.
+    bounded_positions: OnceLock<[Vec<usize>; 2]>,
     heard: usize,
     warm: usize,
     warm_size: f64,
 }
 
 impl ReadyHosts {
-    pub fn join(&mut self, member: Member) {
+    /// Takes a host in; `ranks` has the place of each host where all are ordered by hash.
+    pub fn join(&mut self, member: Member, ranks: &[f64]) {
         let by_index = Arc::make_mut(&mut self.by_index);
         let position = by_index.partition_point(|&host| host < member.host);
         by_index.insert(position, member.host);
-        let position = self.rank_position(member.rank, member.host);
-        self.ranks.insert(position, (member.rank, member.host));
+        let position = self.rank_position(ranks, member.host);
         Arc::make_mut(&mut self.by_rank).insert(position, member.host);
         *self.starts.entry(member.started).or_default() += 1;
         *self.sizes.entry(member.size.to_bits()).or_default() += 1;
@@ -46,19 +47,23 @@
         if member.warm {
             self.warm_up(member.size);
         }
+        if member.bounded {
+            self.bounded.insert(member.host);
+        }
+        self.bounded_positions.take();
     }
 
     /// Undoes [`ReadyHosts::join`] of the same member.
-    pub fn leave(&mut self, member: Member) {
+    pub fn leave(&mut self, member: Member, ranks: &[f64]) {
         let by_index = Arc::make_mut(&mut self.by_index);
         let position = by_index.partition_point(|&host| host < member.host);
         by_index.remove(position);
-        let position = self.rank_position(member.rank, member.host);
-        self.ranks.remove(position);
+        let position = self.rank_position(ranks, member.host);
         Arc::make_mut(&mut self.by_rank).remove(position);
         take_one(&mut self.starts, member.started);
         take_one(&mut self.sizes, member.size.to_bits());
         self.heard -= usize::from(member.heard);
+        self.unbound(member.host);
         if member.warm {
             self.warm -= 1;
             // Rounding left over by hosts that have gone does not outlive them.
@@ -72,6 +77,12 @@
         self.warm_size += size;
     }
 
+    /// What a host is sent is bounded no longer.
+    pub fn unbound(&mut self, host: usize) {
+        self.bounded.remove(&host);
+        self.bounded_positions.take();
+    }
+
     /// Whether a host counts as heard has changed.
     pub fn set_heard(&mut self, before: bool, after: bool) {
         self.heard = self.heard - usize::from(before) + usize::from(after);
@@ -112,14 +123,29 @@
         self.sizes.keys().next_back().copied().map_or(0.0, f64::from_bits)
     }
 
+    /// Where the hosts stand whose deliveries are bounded, ascending: in [`ReadyHosts::by_index`] and in
+    /// [`ReadyHosts::by_rank`].
+    pub fn bounded_positions(&self) -> &[Vec<usize>; 2] {
+        self.bounded_positions.get_or_init(|| {
+            let by_index = self.bounded.iter().filter_map(|&host| self.index_position(host)).collect();
+            let mut by_rank = Vec::new();
+            if !self.bounded.is_empty() {
+                let hosts = self.by_rank.iter().enumerate();
+                by_rank.extend(hosts.filter(|(_, host)| self.bounded.contains(host)).map(|(p, _)| p));
+            }
+            [by_index, by_rank]
+        })
+    }
+
     /// Where a host stands in [`ReadyHosts::by_index`]; `None` for one that is not among them.
     pub fn index_position(&self, host: usize) -> Option<usize> {
         self.by_index.binary_search(&host).ok()
     }
 
     /// Where a host stands, or would stand, in [`ReadyHosts::by_rank`].
-    pub fn rank_position(&self, rank: f64, host: usize) -> usize {
-        self.ranks.partition_point(|other| other.0.total_cmp(&rank).then(other.1.cmp(&host)).is_lt())
+    pub fn rank_position(&self, ranks: &[f64], host: usize) -> usize {
+        let before = |other: &usize| ranks[*other].total_cmp(&ranks[host]).then(other.cmp(&host)).is_lt();
+        self.by_rank.partition_point(before)
     }
 }
 
