Lab: measures what a real router adds to a request over sockets, as a raw run

Cause: the target's 5.5 ms for 99 of 100 requests had no measured line; the module's work alone is a part of it. Change: 'spokeflow-lab measure-load' puts the load of one router on a real router and a pass-through in turn, over numbers of hosts; the page has rows for it.

--- a/crates/spokeflow-lab/src/capacity/commands.rs
+++ b/crates/spokeflow-lab/src/capacity/commands.rs
@@ -1,7 +1,7 @@
 //! The commands of this module.
 
 use std::path::{Path, PathBuf};
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use clap::Args;
 use serde::Serialize;
@@ -11,6 +11,7 @@
 use super::error::CapacityError;
 use super::page::Page;
 use super::rows::rows;
+use super::served::{self, ServedTerms};
 use super::slopes::Slopes;
 use super::target::Target;
 
@@ -38,7 +39,7 @@
 }
 
 #[derive(Args)]
-pub struct MeasureFlags {
+pub struct MeasureBytesFlags {
     /// Where the records go
     #[arg(long, default_value = "docs/capacity/runs/bytes.json")]
     out: PathBuf,
@@ -47,6 +48,38 @@
     date: Option<String>,
 }
 
+#[derive(Args)]
+pub struct MeasureLoadFlags {
+    /// Numbers of hosts, split by commas
+    #[arg(long, value_delimiter = ',', default_values_t = [38, 120, 300, 1000])]
+    hosts: Vec<u32>,
+    /// Requests a second
+    #[arg(long, default_value_t = 300)]
+    rate: u64,
+    /// Seconds measured in each run, after four that are not
+    #[arg(long, default_value_t = 6)]
+    seconds: u64,
+    /// Runs of the router, and as many of the pass-through, at each number of hosts
+    #[arg(long, default_value_t = 2)]
+    runs: u32,
+    /// Time until a host answers
+    #[arg(long, default_value = "150ms", value_parser = humantime::parse_duration)]
+    answer_after: Duration,
+    /// Where the records go
+    #[arg(long, default_value = "docs/capacity/runs/load.json")]
+    out: PathBuf,
+}
+
+impl MeasureLoadFlags {
+    fn check(&self) -> Result<(), String> {
+        let needed = [self.rate, self.seconds, u64::from(self.runs)];
+        if self.hosts.is_empty() || self.hosts.contains(&0) || needed.contains(&0) {
+            return Err("--hosts, --rate, --seconds, --runs: at least 1".into());
+        }
+        Ok(())
+    }
+}
+
 /// Prints the page, or its rows as JSON.
 ///
 /// Errors: the target or the lines, with the entry that does not fit.
@@ -75,12 +108,25 @@
 /// Measures encoded sizes and writes their records. Answers how many records there are.
 ///
 /// Errors: the file that cannot be written.
-pub fn measure_bytes(flags: &MeasureFlags) -> Result<usize, CapacityError> {
+pub fn measure_bytes(flags: &MeasureBytesFlags) -> Result<usize, CapacityError> {
     let records = encoded::measure(&flags.date.clone().unwrap_or_else(today));
     write_json(&flags.out, &records)?;
     Ok(records.len())
 }
 
+/// Measures what a real router adds to a request and writes the records. Answers how many there are.
+///
+/// Errors: wrong use, a router that does not start, or the file that cannot be written.
+pub fn measure_load(flags: &MeasureLoadFlags) -> Result<usize, String> {
+    flags.check()?;
+    let MeasureLoadFlags { hosts, rate, seconds, runs, answer_after, out } = flags;
+    let (hosts, rate, seconds) = (hosts.clone(), *rate, *seconds);
+    let terms = ServedTerms { hosts, rate, seconds, runs: *runs, answer_after: *answer_after };
+    let records = served::measure(&terms, &today())?;
+    write_json(out, &records).map_err(|e| e.to_string())?;
+    Ok(records.len())
+}
+
 fn today() -> String {
     let now = humantime::format_rfc3339_seconds(SystemTime::now()).to_string();
     now.chars().take("YYYY-MM-DD".len()).collect()
--- a/crates/spokeflow-lab/src/capacity/mod.rs
+++ b/crates/spokeflow-lab/src/capacity/mod.rs
@@ -17,12 +17,16 @@
 mod remedy;
 mod row;
 mod rows;
+mod served;
 mod situation;
 mod slopes;
 mod target;
 
 pub use collect::collect;
-pub use commands::{capacity, collect_slopes, measure_bytes, CapacityFlags, CollectFlags, MeasureFlags};
+pub use commands::{
+    capacity, collect_slopes, measure_bytes, measure_load, CapacityFlags, CollectFlags, MeasureBytesFlags,
+    MeasureLoadFlags,
+};
 pub use error::CapacityError;
 pub use fit::{Fit, Form};
 pub use records::{read_records, Record, Role};
--- a/crates/spokeflow-lab/src/capacity/rows/data.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/data.rs
@@ -6,6 +6,7 @@
 use super::super::records::Role;
 use super::super::remedy::Remedy;
 use super::super::row::{Budget, Row, Unit};
+use super::super::served;
 use super::super::situation::Situation;
 use super::Inputs;
 
@@ -28,14 +29,39 @@
         "time added to 99 of 100 requests, of which this is a part",
     );
     vec![
-        Row::varying(Role::RouterData, name("processor"), Unit::Cores, |s| processor(inputs, end, s))
-            .within(cores)
-            .by(MODULE)
-            .mended_by(Remedy::KeptFigures),
-        Row::varying(Role::RouterData, name("work for one request"), Unit::Seconds, |s| work(inputs, end, s))
-            .within(added)
-            .by(MODULE)
-            .mended_by(Remedy::KeptFigures),
+        Row::steady(
+            Role::RouterData,
+            name("time added to 99 of 100 requests, with what measures it"),
+            Unit::Seconds,
+            over_sockets(inputs, served::ADDED_P99, end).times(SECONDS_PER_MILLISECOND),
+        )
+        .within(added.clone())
+        .by("`spokeflow-router`")
+        .mended_by(Remedy::KeptFigures),
+        Row::varying(Role::RouterData, name("processor of the whole process"), Unit::Cores, |s| {
+            let request = over_sockets(inputs, served::PROCESSOR, end).times(SECONDS_PER_MICROSECOND);
+            request.times(requests_per_second(inputs, end, s))
+        })
+        .by("`spokeflow-router`"),
+        Row::steady(
+            Role::RouterData,
+            name("memory of the whole process"),
+            Unit::Bytes,
+            over_sockets(inputs, served::RESIDENT, end),
+        )
+        .by("`spokeflow-router`"),
+        Row::varying(Role::RouterData, name("processor of the module"), Unit::Cores, |s| {
+            processor(inputs, end, s)
+        })
+        .within(cores)
+        .by(MODULE)
+        .mended_by(Remedy::KeptFigures),
+        Row::varying(Role::RouterData, name("work of the module for one request"), Unit::Seconds, |s| {
+            work(inputs, end, s)
+        })
+        .within(added)
+        .by(MODULE)
+        .mended_by(Remedy::KeptFigures),
         Row::varying(Role::RouterData, name("memory of the module's state"), Unit::Bytes, |s| {
             memory(inputs, end, s)
         })
@@ -52,10 +78,18 @@
     ]
 }
 
+/// What was measured of a real router on sockets, at the rate of one router of the target.
+fn over_sockets(inputs: &Inputs, quantity: &'static str, end: &End) -> Estimate {
+    let need = Need { role: Role::RouterData, quantity, phase: served::PHASE, per: "hosts" };
+    inputs.measured(need, end.hosts_per_router)
+}
+
 /// What the module was doing when it was measured that is nearest to a situation.
 fn phase(situation: Situation) -> &'static str {
     match situation {
-        Situation::Mean | Situation::Region | Situation::PowerLoss => "quiet",
+        Situation::Mean | Situation::Region => "quiet",
+        // Routers that start have no news of any build yet.
+        Situation::PowerLoss => "unannounced",
         Situation::Peak => "trial",
         Situation::Restarts | Situation::Rack | Situation::Zone => "changing",
     }
--- /dev/null
+++ b/crates/spokeflow-lab/src/capacity/served.rs
@@ -0,0 +1,117 @@
+//! Measures what a real router adds to a request over loopback sockets, beside a plain pass-through in turn.
+
+use std::time::Duration;
+
+use serde_json::json;
+use spokeflow_standin::load::{put, Follows, Load, Measured};
+use spokeflow_standin::routers::Starting;
+
+use super::records::{Held, Record, Role};
+
+/// Quantities of a run, named for their unit.
+pub const ADDED_P99: &str = "time added to 99 of 100 requests";
+pub const ADDED_P50: &str = "time added to half of the requests";
+pub const PROCESSOR: &str = "processor time of the process for a request";
+pub const RESIDENT: &str = "resident memory of the process under load";
+pub const PHASE: &str = "router, quiet";
+const PASS_PHASE: &str = "pass-through, quiet";
+const BYTES_PER_KIB: f64 = 1024.0;
+const CONNECTIONS: u32 = 20;
+
+/// What is put on the router at each number of hosts.
+#[derive(Clone, Debug)]
+pub struct ServedTerms {
+    pub hosts: Vec<u32>,
+    /// Requests a second.
+    pub rate: u64,
+    pub seconds: u64,
+    pub runs: u32,
+    pub answer_after: Duration,
+}
+
+/// Plays all runs and gives their records, one for each run and quantity.
+///
+/// Errors: a router that does not start.
+pub fn measure(terms: &ServedTerms, date: &str) -> Result<Vec<Record>, String> {
+    let starting = Starting::own().map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let mut records = Vec::new();
+    for &hosts in &terms.hosts {
+        for pass in (0..terms.runs).flat_map(|_| [true, false]) {
+            eprintln!("{hosts} hosts, {}", if pass { "pass-through" } else { "router" });
+            let measured = runtime.block_on(put(&load(terms, hosts, pass), &starting))?;
+            records.extend(of_run(terms, &measured, date));
+        }
+    }
+    Ok(records)
+}
+
+fn load(terms: &ServedTerms, hosts: u32, pass: bool) -> Load {
+    Load {
+        hosts,
+        rate: terms.rate,
+        seconds: terms.seconds,
+        connections: CONNECTIONS,
+        idle: 0,
+        answer_after: terms.answer_after,
+        pass,
+        stalled: false,
+        trial: false,
+        bad: false,
+        follows: Follows::Nothing,
+    }
+}
+
+fn of_run(terms: &ServedTerms, measured: &Measured, date: &str) -> Vec<Record> {
+    let resident = measured.resident_end_kib as f64 * BYTES_PER_KIB;
+    let figures = [
+        (ADDED_P99, "ms", measured.p99_ms),
+        (ADDED_P50, "ms", measured.p50_ms),
+        (PROCESSOR, "us", measured.cpu_us),
+        (RESIDENT, "bytes", resident),
+    ];
+    figures.map(|(quantity, unit, value)| record(terms, measured, date, (quantity, unit, value))).into()
+}
+
+fn record(terms: &ServedTerms, measured: &Measured, date: &str, figure: (&str, &str, f64)) -> Record {
+    let (quantity, unit, value) = figure;
+    let phase = if measured.through == "router" { PHASE } else { PASS_PHASE };
+    Record {
+        role: Role::RouterData,
+        quantity: quantity.into(),
+        unit: unit.into(),
+        phase: phase.into(),
+        size_of: "hosts".into(),
+        size: f64::from(measured.hosts),
+        value,
+        min: None,
+        max: None,
+        spread_of: None,
+        held: held(terms, measured),
+        command: command(terms),
+        date: date.into(),
+    }
+}
+
+fn held(terms: &ServedTerms, measured: &Measured) -> Held {
+    Held::from([
+        ("commands_per_s".to_string(), json!(terms.rate)),
+        ("answer_after_ms".to_string(), json!(terms.answer_after.as_millis() as u64)),
+        ("acked_per_s".to_string(), json!(measured.acked_per_s)),
+        ("nacked".to_string(), json!(measured.nacked)),
+        ("failed".to_string(), json!(measured.failed)),
+    ])
+}
+
+fn command(terms: &ServedTerms) -> String {
+    let hosts: Vec<String> = terms.hosts.iter().map(ToString::to_string).collect();
+    format!(
+        "spokeflow-lab measure-load --hosts {} --rate {} --seconds {} --runs {} --answer-after {}ms",
+        hosts.join(","),
+        terms.rate,
+        terms.seconds,
+        terms.runs,
+        terms.answer_after.as_millis()
+    )
+}
--- a/crates/spokeflow-lab/src/main.rs
+++ b/crates/spokeflow-lab/src/main.rs
@@ -49,7 +49,9 @@
     /// Makes the measured lines that `capacity` reads from the raw runs of a folder
     CollectSlopes(capacity::CollectFlags),
     /// Measures by the real codecs how many bytes messages and kept records take, and writes a raw run
-    MeasureBytes(capacity::MeasureFlags),
+    MeasureBytes(capacity::MeasureBytesFlags),
+    /// Measures over sockets what a real router adds to a request, over numbers of hosts, and writes a raw run
+    MeasureLoad(capacity::MeasureLoadFlags),
     /// Puts an open loop of commands on a real router, beside a plain pass-through in turn
     Load(LoadFlags),
     #[command(hide = true)]
@@ -232,6 +234,10 @@
                 true
             })
         }
+        What::MeasureLoad(flags) => capacity::measure_load(&flags).map(|records| {
+            eprintln!("{records} records");
+            true
+        }),
         What::Load(flags) => load(&flags).map(|()| true),
         What::Pass { host } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/spokeflow-lab/tests/capacity.rs
+++ b/crates/spokeflow-lab/tests/capacity.rs
@@ -178,7 +178,10 @@
     let (slopes, _) =
         collected("before.json", &[("work-after.json", runs(7.0)), ("work-before.json", runs(900.0))]);
     let text = page(TARGET, slopes.path());
-    let row = text.lines().find(|line| line.starts_with("| work for one request; each service has")).unwrap();
+    let row = text
+        .lines()
+        .find(|line| line.starts_with("| work of the module for one request; each service has"))
+        .unwrap();
     assert!(row.contains("| 7 us~ "), "{row}");
 }
 
