--- a/crates/spokeflow-core/benches/memory.rs
+++ b/crates/spokeflow-core/benches/memory.rs
@@ -11,7 +11,7 @@
 
 use points::Point;
 use spokeflow_core::*;
-use traffic::{host_line, terms, Phase, Sent, SECOND};
+use traffic::{host_line, news, terms, Phase, Sent, EARLIER, SECOND};
 
 /// Bytes in use, counted on the way to the system's allocator.
 struct Counting;
@@ -42,6 +42,7 @@
     let mut terms = terms(Phase::Quiet);
     terms.shares = vec![1.0; tenants as usize];
     let mut router = Router::new(&terms, 1, NOW, out);
+    router.at(NOW).told(news(EARLIER, Standing::Released, 1.0), out);
     let lines: Vec<HostLine> = (0..hosts).map(|host| host_line(Phase::Quiet, host, NOW)).collect();
     router.at(NOW).listed(ListKind::Whole, &lines, out);
     router
--- a/crates/spokeflow-core/benches/traffic/mod.rs
+++ b/crates/spokeflow-core/benches/traffic/mod.rs
@@ -17,7 +17,7 @@
 const KEYS: u32 = 5_000;
 const TENANTS: u32 = 4;
 const ZONES: u32 = 3;
-const EARLIER: BuildId = BuildId(1);
+pub const EARLIER: BuildId = BuildId(1);
 const LATER: BuildId = BuildId(2);
 
 /// What the hosts are and do while the traffic runs.
@@ -206,7 +206,7 @@
     }
 }
 
-fn news(build: BuildId, standing: Standing, cap: f64) -> StageNews {
+pub fn news(build: BuildId, standing: Standing, cap: f64) -> StageNews {
     StageNews { build, stage: 1, standing, cap, age: 0 }
 }
 
