--- a/crates/spokeflow-core/tests/kept_figures.rs
+++ b/crates/spokeflow-core/tests/kept_figures.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use scenario::*;
-use spokeflow_core::state::{Hosts, Pool, ReadyHosts, Window};
+use spokeflow_core::state::{Hosts, Pool, ReadyHosts, StartSpans, Window};
 use spokeflow_core::*;
 
 const LENGTH: Micros = 15 * SECOND;
@@ -220,6 +220,27 @@
     assert!(most > 1, "some are blamed at times: {most}");
 }
 
+#[test]
+fn a_host_that_comes_back_with_another_process_is_blamed_no_longer() {
+    let spans = StartSpans { warming: SECOND, bounded: 2 * SECOND, young: 3 * SECOND };
+    let mut hosts = Hosts::new(0, spans, 0);
+    let line = HostLine {
+        host: HostId(1),
+        build: Some(BuildId(1)),
+        cell: 0,
+        zone: ZoneId(0),
+        phase: HostPhase::Ready,
+        size: 1.0,
+        started: None,
+    };
+    let h = hosts.add(&line);
+    hosts.update(h, &line);
+    hosts.set_blame(h, 1.0);
+    assert_eq!(hosts.blamed().collect::<Vec<_>>(), [h]);
+    hosts.update(h, &HostLine { started: Some(0), ..line });
+    assert_eq!((hosts.blame(h), hosts.blamed().count()), (0.0, 0));
+}
+
 #[test]
 fn sums_over_ready_hosts_are_those_of_a_walk() {
     after_each_step(|_, hosts| {
