--- a/crates/spokeflow-lab/src/capacity/commands.rs
+++ b/crates/spokeflow-lab/src/capacity/commands.rs
@@ -122,9 +122,14 @@
     let MeasureLoadFlags { hosts, rate, seconds, runs, answer_after, out } = flags;
     let (hosts, rate, seconds) = (hosts.clone(), *rate, *seconds);
     let terms = ServedTerms { hosts, rate, seconds, runs: *runs, answer_after: *answer_after };
-    let records = served::measure(&terms, &today())?;
-    write_json(out, &records).map_err(|e| e.to_string())?;
-    Ok(records.len())
+    let served = served::measure(&terms, &today())?;
+    write_json(out, &served.records).map_err(|e| e.to_string())?;
+    match served.fault {
+        Some(fault) => {
+            Err(format!("{fault}; the {} records before are in {}", served.records.len(), out.display()))
+        }
+        None => Ok(served.records.len()),
+    }
 }
 
 fn today() -> String {
--- a/crates/spokeflow-lab/src/capacity/encoded.rs
+++ b/crates/spokeflow-lab/src/capacity/encoded.rs
@@ -72,6 +72,7 @@
         min: None,
         max: None,
         spread_of: None,
+        runs: None,
         held,
         command: COMMAND.into(),
         date: String::new(),
--- a/crates/spokeflow-lab/src/capacity/limits.rs
+++ b/crates/spokeflow-lab/src/capacity/limits.rs
@@ -9,7 +9,7 @@
 pub const LIST_FRAME: f64 = spokeflow_proto::LIST_LIMIT as f64;
 /// Revisions that the ledger keeps (`crates/spokeflow-agreed/src/ledger.rs`, `KEPT`).
 pub const REVISIONS_KEPT: f64 = 500.0;
-/// Leases that the leader keeps in mind (`crates/spokeflow-agreed/src/granter.rs`, `HOLDERS`).
+/// Leases that the leader keeps in mind (`crates/spokeflow-agreed/src/granter.rs`, `LEASES_AT_MOST`).
 pub const LEASES_KEPT: f64 = 8192.0;
 /// Changes of the host list that a lagging router is told one by one (`crates/spokeflow-agreed/src/hosts.rs`,
 /// `CHANGES`).
--- a/crates/spokeflow-lab/src/capacity/records.rs
+++ b/crates/spokeflow-lab/src/capacity/records.rs
@@ -82,16 +82,29 @@
     /// What the spread is taken over, such as the processes of one run.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spread_of: Option<String>,
+    /// Runs that the value is of.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub runs: Option<u32>,
     pub held: Held,
     pub command: String,
     pub date: String,
 }
 
-/// Reads one run's records.
+/// A run's own report, of which only the records are looked at.
+#[derive(Deserialize)]
+struct Report {
+    figures: Vec<Record>,
+}
+
+/// Reads one run's records, as a list or within its report.
 ///
 /// Errors: the file, and the entry that is missing, unknown, of a wrong type or out of its limits.
 pub fn read_records(file: &Path) -> Result<Vec<Record>, CapacityError> {
-    let records: Vec<Record> = parse_json(file, &read_text(file)?)?;
+    let text = read_text(file)?;
+    let records = match text.trim_start().starts_with('{') {
+        true => parse_json::<Report>(file, &text)?.figures,
+        false => parse_json(file, &text)?,
+    };
     for (n, record) in records.iter().enumerate() {
         if let Some((entry, wanted)) = record.fault() {
             return Err(CapacityError::new(file, format!("[{n}].{entry}"), format!("{wanted} wanted")));
@@ -126,6 +139,8 @@
 
 /// Largest size and value that are believed.
 const SANE: f64 = 1e15;
+/// Part of a value by which a mean of equal numbers may miss them.
+const ROUNDING: f64 = 1e-9;
 /// What is wanted of a spread.
 pub const SPREAD: &str = "min from 0 to value, and max from value to 1e15";
 
@@ -140,7 +155,9 @@
 
 /// Whether a value lies within its spread, as far as that is told.
 pub fn is_spread(min: Option<f64>, value: f64, max: Option<f64>) -> bool {
-    min.is_none_or(|min| (0.0..=value).contains(&min)) && max.is_none_or(|max| (value..=SANE).contains(&max))
+    let rounding = value * ROUNDING;
+    min.is_none_or(|min| (0.0..=value + rounding).contains(&min))
+        && max.is_none_or(|max| (value - rounding..=SANE).contains(&max))
 }
 
 /// Reads JSON and names the entry that does not fit.
--- a/crates/spokeflow-lab/src/capacity/remedy.rs
+++ b/crates/spokeflow-lab/src/capacity/remedy.rs
@@ -15,7 +15,7 @@
     LeaseInBatches,
     OneListReader,
     ManyChangesAtOnce,
-    LeanControl,
+    CheckedOnce,
 }
 
 impl Remedy {
@@ -28,7 +28,7 @@
             Remedy::LeaseInBatches => "leases renewed for many routers at once",
             Remedy::OneListReader => "one reader of the list source",
             Remedy::ManyChangesAtOnce => "several changes announced at once",
-            Remedy::LeanControl => "a leaner control side of the router",
+            Remedy::CheckedOnce => "settings checked once for each revision",
         }
     }
 
@@ -60,8 +60,9 @@
             Remedy::ManyChangesAtOnce => {
                 "Changes that touch different settings are announced together and come into force together."
             }
-            Remedy::LeanControl => {
-                "The router's control side does less for each lease, change and list line."
+            Remedy::CheckedOnce => {
+                "A renewed lease that changes nothing only moves the lease's end: today each grant makes the router read and \
+                 check all settings again (`KeeperLink::act`, `RouterTerms::agreed`)."
             }
         }
     }
--- a/crates/spokeflow-lab/src/capacity/rows/control.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/control.rs
@@ -69,13 +69,29 @@
         Row::varying(Role::RouterControl, "processor", Unit::Cores, |s| {
             process(inputs, "processor_share", s)
         })
-        .within(cores)
+        .within(cores.clone())
         .by(LINK)
-        .mended_by(Remedy::LeanControl),
+        .mended_by(Remedy::CheckedOnce),
         Row::varying(Role::RouterControl, "memory", Unit::Bytes, |s| process(inputs, "memory_peak", s))
             .within(memory)
             .by(LINK)
-            .mended_by(Remedy::LeanControl),
+            .mended_by(Remedy::CheckedOnce),
+        Row::varying(
+            Role::RouterControl,
+            "memory of a real router's whole process, without requests",
+            Unit::Bytes,
+            |s| over_sizes(inputs, Role::RealRouter, "memory_peak", scale_phase(s)),
+        )
+        .by("`spokeflow-router`"),
+        Row::varying(
+            Role::RouterControl,
+            "processor of a real router's whole process, without requests",
+            Unit::Cores,
+            |s| over_sizes(inputs, Role::RealRouter, "processor_share", scale_phase(s)),
+        )
+        .within(cores.clone())
+        .by("`spokeflow-router`, `KeeperLink::act`")
+        .mended_by(Remedy::CheckedOnce),
         Row::varying(
             Role::RouterControl,
             "bytes measured on the link, both ways",
@@ -144,15 +160,22 @@
         Situation::Restarts | Situation::Rack => "churn",
         Situation::Zone => "zone",
         Situation::Region => "region",
-        Situation::PowerLoss => "start",
+        Situation::PowerLoss => LAUNCH,
     }
 }
 
+/// All routers start at once.
+const LAUNCH: &str = "launch";
+
 /// The greatest of what was measured over routers, hosts and tenants, the others held.
 pub fn over_sizes(inputs: &Inputs, role: Role, quantity: &'static str, phase: &'static str) -> Estimate {
     let fleet = &inputs.target.fleet;
     let sizes = [("routers", fleet.routers), ("hosts", fleet.hosts), ("tenants", fleet.tenants)];
-    Estimate::greatest(sizes.map(|(per, size)| inputs.measured(Need { role, quantity, phase, per }, size)))
+    // A launch that a frame limit ends has figures as well, of routers that never were ready.
+    let comparable = sizes.into_iter().filter(|(per, _)| phase != LAUNCH || *per == "routers");
+    Estimate::greatest(
+        comparable.map(|(per, size)| inputs.measured(Need { role, quantity, phase, per }, size)),
+    )
 }
 
 fn process(inputs: &Inputs, quantity: &'static str, situation: Situation) -> Estimate {
--- a/crates/spokeflow-lab/src/capacity/rows/voter.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/voter.rs
@@ -1,7 +1,7 @@
 //! The leading voter: leases, the log, the ledger.
 
 use super::super::encoded;
-use super::super::estimate::Estimate;
+use super::super::estimate::{Estimate, Need};
 use super::super::limits;
 use super::super::records::Role;
 use super::super::remedy::Remedy;
@@ -63,6 +63,13 @@
             Estimate::given(2.0 * target.fleet.routers * (inputs.renewals_per_second() + changes))
         })
         .by(GRANTER),
+        Row::steady(
+            Role::VoterLeader,
+            "instructions of the granter for renewals",
+            Unit::PerSecond,
+            granter_work(inputs),
+        )
+        .by(GRANTER),
         Row::steady(
             Role::VoterFollower,
             "messages of leases, its own callers' and to the leader",
@@ -211,6 +218,13 @@
     inputs.per_hosts(Role::Voter, encoded::LIST_STATE).plus(revisions)
 }
 
+fn granter_work(inputs: &Inputs) -> Estimate {
+    let quantity = "processor work of one lease request in Granter::ask";
+    let need = Need { role: Role::Voter, quantity, phase: "peace", per: "routers" };
+    let routers = inputs.target.fleet.routers;
+    inputs.measured(need, routers).times(inputs.renewals_per_second() * routers)
+}
+
 /// Routers that ask one voter, where each voter has as many.
 fn callers_of_one(inputs: &Inputs) -> f64 {
     (inputs.target.fleet.routers / inputs.target.terms.voters).ceil()
--- a/crates/spokeflow-lab/src/capacity/served.rs
+++ b/crates/spokeflow-lab/src/capacity/served.rs
@@ -29,10 +29,17 @@
     pub answer_after: Duration,
 }
 
-/// Plays all runs and gives their records, one for each run and quantity.
+/// What was measured, and why it ended before the last run.
+pub struct Served {
+    pub records: Vec<Record>,
+    pub fault: Option<String>,
+}
+
+/// Plays all runs and gives their records, one for each run and quantity. A run that fails ends it; what was measured
+/// before stays.
 ///
-/// Errors: a router that does not start.
-pub fn measure(terms: &ServedTerms, date: &str) -> Result<Vec<Record>, String> {
+/// Errors: nothing could be begun.
+pub fn measure(terms: &ServedTerms, date: &str) -> Result<Served, String> {
     let starting = Starting::own().map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
@@ -40,11 +47,15 @@
     for &hosts in &terms.hosts {
         for pass in (0..terms.runs).flat_map(|_| [true, false]) {
             eprintln!("{hosts} hosts, {}", if pass { "pass-through" } else { "router" });
-            let measured = runtime.block_on(put(&load(terms, hosts, pass), &starting))?;
-            records.extend(of_run(terms, &measured, date));
+            match runtime.block_on(put(&load(terms, hosts, pass), &starting)) {
+                Ok(measured) => records.extend(of_run(terms, &measured, date)),
+                Err(fault) => {
+                    return Ok(Served { records, fault: Some(format!("at {hosts} hosts: {fault}")) })
+                }
+            }
         }
     }
-    Ok(records)
+    Ok(Served { records, fault: None })
 }
 
 fn load(terms: &ServedTerms, hosts: u32, pass: bool) -> Load {
@@ -88,6 +99,7 @@
         min: None,
         max: None,
         spread_of: None,
+        runs: None,
         held: held(terms, measured),
         command: command(terms),
         date: date.into(),
--- a/crates/spokeflow-lab/src/capacity/slopes.rs
+++ b/crates/spokeflow-lab/src/capacity/slopes.rs
@@ -72,13 +72,17 @@
     }
 
     /// The measured value where the size was measured, else the fit's; `None` where a single size was measured and
-    /// another is asked for.
+    /// another is asked for, and where a fit that falls has come to nothing, which no cost does.
     pub fn at(&self, size: f64) -> Option<Reading> {
         let few = self.points.len() < ENOUGH_POINTS;
         if let Some(point) = self.points.iter().find(|p| p.size == size) {
             return Some(Reading { value: point.value, far: false, few });
         }
-        let value = self.fit()?.form.at(size).max(0.0);
+        let value = self.fit()?.form.at(size);
+        let nothing = value < 0.0 || value == 0.0 && self.points.iter().any(|p| p.value > 0.0);
+        if nothing {
+            return None;
+        }
         Some(Reading { value, far: size > FAR * self.largest(), few })
     }
 
--- a/crates/spokeflow-lab/tests/capacity.rs
+++ b/crates/spokeflow-lab/tests/capacity.rs
@@ -185,6 +185,15 @@
     assert!(row.contains("| 7 us~ "), "{row}");
 }
 
+#[test]
+fn a_run_may_be_given_as_its_report() {
+    let records = serde_json::json!([work(10.0, 1.0, serde_json::json!({}))]);
+    let report = serde_json::json!({"outcome": "kept", "findings": [], "figures": records});
+    let (_, of_list) = collected("list.json", &[("run.json", records)]);
+    let (_, of_report) = collected("report.json", &[("run.json", report)]);
+    assert_eq!(of_list, of_report);
+}
+
 #[test]
 fn sweeps_with_other_sizes_held_are_lines_of_their_own() {
     let held = |routers: u32, given: u32| serde_json::json!({"routers": routers, "commands_given": given});
@@ -248,7 +257,7 @@
         ("crates/spokeflow-agreed/src/ledger.rs", "const KEPT: usize = 500;", limits::REVISIONS_KEPT, 500.0),
         (
             "crates/spokeflow-agreed/src/granter.rs",
-            "const HOLDERS: usize = 8192;",
+            "const LEASES_AT_MOST: usize = 8192;",
             limits::LEASES_KEPT,
             8192.0,
         ),
--- a/crates/spokeflow-lab/tests/capacity_fits.rs
+++ b/crates/spokeflow-lab/tests/capacity_fits.rs
@@ -72,5 +72,6 @@
     let none = line(&[(1.0, 0.0), (2.0, 0.0), (3.0, 0.0), (4.0, 0.0)]);
     assert_eq!(none.at(100.0).unwrap().value, 0.0);
     let falling = line(&[(1.0, 4.0), (2.0, 3.0), (3.0, 2.0), (4.0, 1.0)]);
-    assert!(falling.at(50.0).unwrap().value >= 0.0, "no cost is below nothing");
+    assert!(falling.at(3.5).unwrap().value > 0.0);
+    assert!(falling.at(50.0).is_none(), "no cost is nothing, or below it");
 }
