--- a/crates/spokeflow-standin/src/scale/propagation.rs
+++ b/crates/spokeflow-standin/src/scale/propagation.rs
@@ -81,8 +81,8 @@
     }
 
     /// Routers that were started and are not ready.
-    pub fn starting(&self) -> usize {
-        self.starting.len()
+    pub fn starting(&self) -> BTreeSet<u32> {
+        self.starting.keys().copied().collect()
     }
 
     /// How long starts took since this was asked last, in microseconds.
--- a/crates/spokeflow-standin/src/scale/report.rs
+++ b/crates/spokeflow-standin/src/scale/report.rs
@@ -193,7 +193,7 @@
 /// How figures are taken, for whoever reads the file alone.
 fn notes() -> BTreeMap<String, String> {
     let notes = [
-        ("processor_share", "utime and stime of /proc/PID/stat over the phase, as a share of one core"),
+        ("processor_share", "time on a processor over the phase, by /proc/PID/task/*/schedstat (/proc/PID/stat where there is none), as a share of one core"),
         ("memory", "resident memory of /proc/PID/stat, four times a second; proportional: Pss of smaps_rollup at the end of the phase"),
         ("hollow_router", "figures of its process divided by the routers in it; links are each router's own"),
         ("real_router", "its whole process, without clients and host connections; its own list says nothing"),
