The platform's links of the engine have a module of their own

Cause: serve.rs had 520 lines: the task that owns the engine, and what carries out what the engine sends.

--- a/crates/spokeflow-platform/src/lib.rs
+++ b/crates/spokeflow-platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod deployer;
 mod discovery;
+mod engine_links;
 mod hosts;
 mod log;
 mod pauses;
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -1,17 +1,16 @@
-//! The task that owns the engine, and what carries its messages.
+//! The task that owns the engine.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use spokeflow_core::{HostId, Micros, MET_BY};
-use spokeflow_engine::{Engine, EngineTerms, Input, Links};
-use spokeflow_proto::{FrameFault, FromDesk, FromList, ToClient, ToDesk, ToHost, ToList};
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
-use tokio::task::{AbortHandle, JoinSet};
+use spokeflow_core::{Micros, MET_BY};
+use spokeflow_engine::{Engine, EngineTerms, Input};
+use spokeflow_proto::{FrameFault, FromDesk, FromList, ToClient};
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::task::JoinSet;
 use tokio::time::{sleep_until, Instant};
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
@@ -19,9 +18,10 @@
 use crate::arrival::Arrival;
 use crate::clients::{listen, Accepting, Desk, House};
 use crate::configuration::Limits;
-use crate::deployer::{Subscription, Vote};
+use crate::deployer::Subscription;
 use crate::discovery::{Watching, FIRST_PAUSE, LONGEST_PAUSE};
-use crate::hosts::{Attempt, Connection, Leaving, Unused, Ways};
+use crate::engine_links::{EngineLinks, Waiting};
+use crate::hosts::{Leaving, Ways};
 use crate::program::{PlatformProgram, Signals, LOOKED_AGAIN, WRITTEN_WITHIN};
 use crate::reuse::Reuse;
 use crate::roster::{Listing, Roster};
@@ -40,209 +40,6 @@
 /// Descriptors for all but clients and hosts: standard streams, signals, the listener, discovery, the deployer.
 pub const OTHERS: u64 = 24;
 
-struct Host {
-    address: SocketAddr,
-    incarnation: u64,
-    open: bool,
-    unused: Unused,
-}
-
-struct Out {
-    host: HostId,
-    incarnation: u64,
-    halt: Option<oneshot::Sender<()>>,
-    task: AbortHandle,
-}
-
-struct Waiting {
-    id: Bytes,
-    answer: oneshot::Sender<ToClient>,
-}
-
-/// The engine's way out. Nothing here waits.
-struct Wires {
-    house: Arc<House>,
-    ways: Arc<Ways>,
-    waiting: HashMap<u64, Waiting>,
-    /// Ids of the commands that are owed an answer, on any connection.
-    open_ids: HashSet<Bytes>,
-    hosts: HashMap<HostId, Host>,
-    out: HashMap<u64, Out>,
-    places: Arc<Semaphore>,
-    reuse: Reuse,
-    deployer: watch::Sender<SocketAddr>,
-    vote_wait: Duration,
-}
-
-impl Wires {
-    fn halt(&mut self, host: HostId, but: Option<u64>) {
-        for out in self.out.values_mut().filter(|o| o.host == host && Some(o.incarnation) != but) {
-            // What has left whole no longer listens.
-            if let Some(halt) = out.halt.take() {
-                let _ = halt.send(());
-            }
-        }
-    }
-
-    /// Room for one more connection to a host, if need be that of the one longest unused.
-    fn place(&mut self) -> Option<tokio::sync::OwnedSemaphorePermit> {
-        if let Ok(place) = self.places.clone().try_acquire_owned() {
-            return Some(place);
-        }
-        let unused = self.hosts.values_mut().filter_map(|h| Some((h.unused.oldest()?, h)));
-        unused.min_by_key(|(since, _)| *since)?.1.unused.drop_oldest();
-        self.places.clone().try_acquire_owned().ok()
-    }
-
-    fn deliver(
-        &mut self,
-        host: HostId,
-        delivery: u64,
-        left_us: u64,
-        leave_by: Micros,
-        request: Bytes,
-    ) -> bool {
-        let Some(known) = self.hosts.get_mut(&host).filter(|h| h.open) else { return false };
-        let (address, incarnation) = (known.address, known.incarnation);
-        let (rested, unused) = known.unused.take(&self.reuse).unzip();
-        let place = if unused.is_none() { self.place() } else { None };
-        if unused.is_none() && place.is_none() {
-            return false;
-        }
-        let (halt, halted) = oneshot::channel();
-        let ways = self.ways.clone();
-        let clock = &ways.clock;
-        let (until, leave_by) = (clock.at(clock.now() + left_us as Micros), clock.at(leave_by));
-        let attempt = Attempt {
-            ways,
-            host,
-            delivery,
-            address,
-            request,
-            until,
-            leave_by,
-            unused,
-            rested,
-            place,
-            halt: halted,
-        };
-        debug!(id = attempt.id(), %address, delivery, left_us, "delivery");
-        let task = tokio::spawn(attempt.run()).abort_handle();
-        self.out.insert(delivery, Out { host, incarnation, halt: Some(halt), task });
-        true
-    }
-
-    /// A delivery has ended by itself; its connection is kept where the host is still the same process.
-    fn delivered(&mut self, host: HostId, delivery: u64, connection: Option<Connection>) {
-        let out = self.out.remove(&delivery);
-        let known = self.hosts.get_mut(&host).filter(|h| h.open);
-        if let (Some(out), Some(known), Some(connection)) = (out, known, connection) {
-            if known.incarnation == out.incarnation {
-                known.unused.keep(connection);
-            }
-        }
-    }
-}
-
-impl Links for Wires {
-    fn to_client(&mut self, conn: u64, message: ToClient) {
-        if let Some(waiting) = self.waiting.remove(&conn) {
-            let (build, come_back_us) = match &message {
-                ToClient::Acked { build, .. } => (Some(*build), None),
-                ToClient::Nacked { come_back_us, .. } => (None, *come_back_us),
-                _ => (None, None),
-            };
-            let id = String::from_utf8_lossy(&waiting.id);
-            debug!(%id, conn, end = word(&message), build, come_back_us, "answer");
-            self.open_ids.remove(&waiting.id);
-            let _ = waiting.answer.send(message);
-        }
-    }
-
-    fn to_host(&mut self, host: HostId, message: ToHost, leave_by: Micros) -> bool {
-        match message {
-            ToHost::Deliver { delivery, left_us, body, .. } => {
-                self.deliver(host, delivery, left_us, leave_by, body)
-            }
-            ToHost::Cancel { delivery } => {
-                // Dropped with its task, the connection closes: that is how an attempt is given up here.
-                if let Some(out) = self.out.remove(&delivery) {
-                    out.task.abort();
-                    debug!(delivery, "delivery given up");
-                }
-                true
-            }
-            _ => true,
-        }
-    }
-
-    /// The watch stands always.
-    fn to_list(&mut self, _: ToList) -> bool {
-        true
-    }
-
-    fn to_desk(&mut self, message: ToDesk) -> bool {
-        info!(?message, "vote");
-        let ToDesk::Vote { ballot, build, stage, verdict } = message else { return true };
-        let vote = Vote {
-            address: *self.deployer.borrow(),
-            core: self.ways.core.clone(),
-            wait: self.vote_wait,
-            ballot,
-            build,
-            stage,
-            verdict,
-        };
-        tokio::spawn(vote.run());
-        true
-    }
-
-    fn to_routers(&mut self, _: Option<u32>, _: &[u8]) {}
-
-    fn host_open(&mut self, host: HostId, address: &str, incarnation: u64) {
-        let Ok(address) = address.parse() else {
-            return warn!(host = host.0, address, "the list names no address for a host");
-        };
-        self.house.up.store(true, Ordering::Relaxed);
-        let fresh = || Host { address, incarnation, open: true, unused: Unused::default() };
-        let known = self.hosts.entry(host).or_insert_with(fresh);
-        known.open = true;
-        if (known.address, known.incarnation) != (address, incarnation) {
-            // What has not left yet was meant for another process, maybe another build.
-            *known = fresh();
-            self.halt(host, Some(incarnation));
-        }
-    }
-
-    fn recall(&mut self, host: HostId, delivery: Option<u64>) {
-        let Some(delivery) = delivery else { return self.halt(host, None) };
-        if let Some(halt) = self.out.get_mut(&delivery).and_then(|out| out.halt.take()) {
-            let _ = halt.send(());
-        }
-    }
-
-    fn host_closed(&mut self, host: HostId, gone: bool) {
-        if let Some(known) = self.hosts.get_mut(&host) {
-            known.open = false;
-            known.unused.clear();
-        }
-        self.halt(host, None);
-        if gone {
-            self.hosts.remove(&host);
-        }
-    }
-}
-
-/// For log lines, which hold no bodies.
-fn word(message: &ToClient) -> &'static str {
-    match message {
-        ToClient::Acked { .. } => "acked",
-        ToClient::Nacked { .. } => "nacked",
-        ToClient::Failed { .. } => "failed",
-        _ => "refused",
-    }
-}
-
 /// Connections of clients and to hosts at most, of what the others leave. A command holds one of each, and those to
 /// the hosts that this router meets stand unused between: what the told fleet, `hosts` and commands in flight come to, a third at
 /// least and half at most, goes to hosts.
@@ -267,40 +64,40 @@
 
 struct Core {
     engine: Engine,
-    wires: Wires,
+    links: EngineLinks,
     roster: Roster,
     clock: Arc<Clock>,
 }
 
 impl Core {
     fn give(&mut self, input: Input) {
-        self.engine.take(self.clock.now(), input, &mut self.wires);
+        self.engine.take(self.clock.now(), input, &mut self.links);
     }
 
     fn take(&mut self, arrival: Arrival) {
         match arrival {
             Arrival::Command { conn, id, command, answer } => {
-                if !self.wires.open_ids.insert(id.clone()) {
+                if !self.links.open_ids.insert(id.clone()) {
                     let refused = FrameFault::IdInUse(command.id).refused();
                     let _ = answer.send(ToClient::Refused(refused));
                     return;
                 }
                 let (op, left_us) = (command.op, command.left_us);
                 debug!(id = %String::from_utf8_lossy(&id), conn, op, left_us, "command");
-                self.wires.waiting.insert(conn, Waiting { id, answer });
+                self.links.waiting.insert(conn, Waiting { id, answer });
                 self.give(Input::Command { conn, command });
             }
             Arrival::ClientGone(conn) => {
-                if let Some(waiting) = self.wires.waiting.remove(&conn) {
-                    self.wires.open_ids.remove(&waiting.id);
+                if let Some(waiting) = self.links.waiting.remove(&conn) {
+                    self.links.open_ids.remove(&waiting.id);
                 }
                 self.give(Input::ClientGone { conn });
             }
             Arrival::Delivered { host, delivery, input, connection, broke } => {
                 if let Some((rested, broke)) = broke {
-                    self.wires.reuse.learn(rested, broke);
+                    self.links.reuse.learn(rested, broke);
                 }
-                self.wires.delivered(host, delivery, connection);
+                self.links.delivered(host, delivery, connection);
                 self.give(input);
             }
             Arrival::Listed(listing) => self.listed(listing, false),
@@ -337,9 +134,9 @@
 impl Core {
     /// What the engine counts as out beside what is open, so that on-call sees the two part.
     fn look(&self, places: usize) {
-        let unused: usize = self.wires.hosts.values().map(|host| host.unused.count()).sum();
-        let open = places - self.wires.places.available_permits();
-        let (left, mean_us, most_us) = self.wires.ways.leaving.look();
+        let unused: usize = self.links.hosts.values().map(|host| host.unused.count()).sum();
+        let open = places - self.links.places.available_permits();
+        let (left, mean_us, most_us) = self.links.ways.leaving.look();
         let (held, out) = (self.engine.held(), self.engine.out());
         info!(held, out, in_use = open - unused, unused, left, mean_us, most_us, "on the sockets");
     }
@@ -408,7 +205,7 @@
         up: AtomicBool::new(false),
         leaving,
     });
-    let mut wires = Wires {
+    let mut links = EngineLinks {
         house: house.clone(),
         ways: Arc::new(Ways {
             clock: clock.clone(),
@@ -432,9 +229,9 @@
         // A connection holds one command at a time.
         held_at_most: client_places,
     };
-    let engine = Engine::new(terms, told.seed, clock.now(), &mut wires);
+    let engine = Engine::new(terms, told.seed, clock.now(), &mut links);
     let roster = Roster::new(told.told.zones, longest.max(1));
-    let mut here = Core { engine, wires, roster, clock: clock.clone() };
+    let mut here = Core { engine, links, roster, clock: clock.clone() };
     let after = told.known.as_ref().map_or(0, |known| known.revision);
     if let Some(known) = told.known {
         here.listed(known, true);
@@ -481,21 +278,21 @@
         }
         batch.drain(..).for_each(|arrival| here.take(arrival));
         if here.engine.next_wake() <= clock.now() {
-            here.engine.woken(clock.now(), &mut here.wires);
+            here.engine.woken(clock.now(), &mut here.links);
         }
         if let Some(due) = reload.as_mut().filter(|r| r.next <= Instant::now()) {
             let (fresh, done) = due.read(&program);
             if let Some(fresh) = fresh {
                 info!(discovery = %fresh.discovery, deployer = %fresh.deployer, "configuration read again");
                 discovery.send_if_modified(|at| std::mem::replace(at, fresh.discovery) != fresh.discovery);
-                let deployer = &here.wires.deployer;
+                let deployer = &here.links.deployer;
                 deployer.send_if_modified(|at| std::mem::replace(at, fresh.deployer) != fresh.deployer);
             }
             reload = reload.filter(|_| !done);
         }
         if swept.elapsed() > unused_most.min(Duration::from_secs(1)) {
             swept = Instant::now();
-            here.wires.hosts.values_mut().for_each(|host| host.unused.expire(unused_most));
+            here.links.hosts.values_mut().for_each(|host| host.unused.expire(unused_most));
         }
         if looked.elapsed() > LOOKED_EVERY {
             looked = Instant::now();
