Scale run: a router's new process is not held against the lease of its old one

Cause: in the phase start 485 lapses were counted at 1300 routers: the end of the old process's lease fell behind the return.

--- a/crates/spokeflow-standin/src/scale/mod.rs
+++ b/crates/spokeflow-standin/src/scale/mod.rs
@@ -28,4 +28,5 @@
 pub use run::scale;
 pub use sample::Role;
 pub use settings::revision;
+pub use traffic::{Lapses, Seen};
 pub use wire::{from_keeper, to_keeper, FromKeeperHead, ToKeeperHead};
--- a/crates/spokeflow-standin/src/scale/rig.rs
+++ b/crates/spokeflow-standin/src/scale/rig.rs
@@ -185,7 +185,7 @@
         let mut flags = settings.flags(router, self.flags.zone(router), self.around);
         flags.extend(settings.customer_flags());
         let starting = Starting { first: vec!["router".into()], ..self.starting.clone() };
-        self.tap.seen().propagation.started(self.tap.now(), router);
+        self.tap.seen().started(self.tap.now(), router);
         let process = RouterProcess::start(&starting, &flags, &name).await;
         let process = process.map_err(|what| format!("{name} cannot be started: {what}"))?;
         self.roster.add(&name, process.pid(), Kind::Real(router));
@@ -238,7 +238,7 @@
 
     fn note_started(&self, routers: &BTreeSet<u32>) {
         let (now, mut seen) = (self.tap.now(), self.tap.seen());
-        routers.iter().for_each(|router| seen.propagation.started(now, *router));
+        routers.iter().for_each(|router| seen.started(now, *router));
     }
 
     /// These routers end at once, real ones as by `kill -9`. Errors: a hollow process has ended.
@@ -264,7 +264,7 @@
             let (now, mut seen) = (self.tap.now(), self.tap.seen());
             for router in routers {
                 seen.propagation.returned(now, *router);
-                seen.propagation.started(now, *router);
+                seen.started(now, *router);
             }
         }
         self.tell_hollow(routers, HollowCommand::Return).await?;
--- a/crates/spokeflow-standin/src/scale/traffic.rs
+++ b/crates/spokeflow-standin/src/scale/traffic.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// A router is started now: no earlier lease is its own.
+    pub fn started(&mut self, now: Micros, router: u32) {
+        self.lease_until.remove(&router);
+        self.propagation.started(now, router);
+    }
+
     /// A grant has been handed on to a router, for a request that it sent at `asked`; `held` is the lease.
     pub fn granted(&mut self, now: Micros, router: u32, asked: Micros, held: Micros) {
         self.leadership.first_grant.get_or_insert(now);
