--- a/crates/spokeflow-lab/src/capacity/collect.rs
+++ b/crates/spokeflow-lab/src/capacity/collect.rs
@@ -21,8 +21,17 @@
 }
 
 /// What tells two sweeps over one size apart; other entries of `held` may differ from point to point.
-const SWEEP_SIZES: [&str; 7] =
-    ["routers", "hosts", "tenants", "voters", "changes_per_minute", "fleet_size", "commands_per_s"];
+const SWEEP_SIZES: [&str; 9] = [
+    "routers",
+    "hosts",
+    "tenants",
+    "voters",
+    "changes_per_minute",
+    "fleet_size",
+    "commands_per_s",
+    "real",
+    "hollow_per_process",
+];
 
 /// Reads every raw run of a folder, in the order of their names, and makes the lines of it.
 ///
@@ -77,8 +86,11 @@
 }
 
 fn held_sizes(record: &Record) -> Vec<String> {
-    let names = SWEEP_SIZES.iter().filter(|name| **name != record.size_of.replace('-', "_"));
-    names.filter_map(|name| record.held.get(*name).map(|value| format!("{name} {value}"))).collect()
+    let changing = record.size_of.replace('-', "_");
+    let held = SWEEP_SIZES.iter().filter_map(|name| Some((*name, record.held.get(*name)?)));
+    // The size that changes is told again under its own name.
+    let others = held.filter(|(name, value)| *name != changing || value.as_f64() != Some(record.size));
+    others.map(|(name, value)| format!("{name} {value}")).collect()
 }
 
 /// What all records have alike, except the size that changes.
--- a/crates/spokeflow-lab/src/capacity/estimate.rs
+++ b/crates/spokeflow-lab/src/capacity/estimate.rs
@@ -77,19 +77,22 @@
     /// The greatest of those that are measured: each was measured with the other sizes held, so that all together
     /// may cost more.
     pub fn greatest(all: impl IntoIterator<Item = Estimate>) -> Estimate {
-        let mut greatest: Option<Estimate> = None;
+        let dearest = Estimate::dearest(all);
+        Estimate { at_least: dearest.value.is_some(), ..dearest }
+    }
+
+    /// The greatest of those that are measured, where only one of them happens at a time.
+    pub fn dearest(all: impl IntoIterator<Item = Estimate>) -> Estimate {
+        let mut dearest: Option<Estimate> = None;
         let mut missing = BTreeSet::new();
         for estimate in all {
             missing.extend(estimate.missing.iter().cloned());
             let Some(value) = estimate.value else { continue };
-            if greatest.as_ref().is_none_or(|g| g.value < Some(value)) {
-                greatest = Some(estimate);
+            if dearest.as_ref().is_none_or(|d| d.value < Some(value)) {
+                dearest = Some(estimate);
             }
         }
-        match greatest {
-            Some(estimate) => Estimate { at_least: true, ..estimate },
-            None => Estimate { missing, ..Estimate::default() },
-        }
+        dearest.unwrap_or(Estimate { missing, ..Estimate::default() })
     }
 
     fn joined(mut self, other: Estimate, value: Option<f64>) -> Estimate {
--- a/crates/spokeflow-lab/src/capacity/page/sections.rs
+++ b/crates/spokeflow-lab/src/capacity/page/sections.rs
@@ -268,6 +268,14 @@
         if self.slopes.lines.is_empty() {
             return text + "None yet.\n";
         }
+        let (named, others): (Vec<&Line>, Vec<&Line>) =
+            self.slopes.lines.iter().partition(|line| self.names(line));
+        text += &format!(
+            "Named here: the {} lines that a row rests on, and what was measured of the same before a change. The other {} are \
+             in the file of lines only.\n\n",
+            named.len(),
+            others.len()
+        );
         let head = [
             "line",
             "unit",
@@ -279,9 +287,19 @@
             "run",
             "date",
         ];
-        text += &table(head, self.slopes.lines.iter().map(line_row).collect());
+        text += &table(head, named.into_iter().map(line_row).collect());
         text
     }
+
+    /// Whether a row rests on the line, or on a later one of the same quantity.
+    fn names(&self, line: &Line) -> bool {
+        let mut used = self.rows.iter().flat_map(|row| &row.cells).flat_map(|cell| &cell.estimate.lines);
+        let same = |other: &&Line| {
+            let key = |l: &Line| (l.role, l.quantity.clone(), l.phase.clone(), l.per.clone());
+            key(other) == key(line) && line.run.contains("before")
+        };
+        used.any(|id| *id == line.id || self.slopes.lines.iter().filter(|l| l.id == *id).any(|l| same(&l)))
+    }
 }
 
 fn join<const N: usize>(values: [f64; N]) -> String {
--- a/crates/spokeflow-lab/src/capacity/remedy.rs
+++ b/crates/spokeflow-lab/src/capacity/remedy.rs
@@ -61,8 +61,9 @@
                 "Changes that touch different settings are announced together and come into force together."
             }
             Remedy::CheckedOnce => {
-                "A renewed lease that changes nothing only moves the lease's end: today each grant makes the router read and \
-                 check all settings again (`KeeperLink::act`, `RouterTerms::agreed`)."
+                "A renewed lease that changes nothing only moves the lease's end: today each grant makes the router read, \
+                 check and apply all settings again (`KeeperLink::act`, `RouterTerms::agreed`; read from the code, not \
+                 profiled)."
             }
         }
     }
--- a/crates/spokeflow-lab/src/capacity/rows/control.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/control.rs
@@ -80,14 +80,14 @@
             Role::RouterControl,
             "memory of a real router's whole process, without requests",
             Unit::Bytes,
-            |s| over_sizes(inputs, Role::RealRouter, "memory_peak", scale_phase(s)),
+            |s| scale_run(inputs, Role::RealRouter, "memory_peak", s),
         )
         .by("`spokeflow-router`"),
         Row::varying(
             Role::RouterControl,
             "processor of a real router's whole process, without requests",
             Unit::Cores,
-            |s| over_sizes(inputs, Role::RealRouter, "processor_share", scale_phase(s)),
+            |s| scale_run(inputs, Role::RealRouter, "processor_share", s),
         )
         .within(cores.clone())
         .by("`spokeflow-router`, `KeeperLink::act`")
@@ -152,38 +152,41 @@
     2.0 * (inputs.renewals_per_second() + early)
 }
 
-/// The phase of the scale run that is nearest to a situation.
-pub fn scale_phase(situation: Situation) -> &'static str {
+/// All routers of a run start at its beginning.
+const LAUNCH: &str = "launch";
+
+/// The phases of the scale run that are nearest to a situation.
+fn scale_phases(situation: Situation) -> &'static [&'static str] {
     match situation {
-        Situation::Mean => "quiet",
-        Situation::Peak => "changes",
-        Situation::Restarts | Situation::Rack => "churn",
-        Situation::Zone => "zone",
-        Situation::Region => "region",
-        Situation::PowerLoss => LAUNCH,
+        Situation::Mean => &["quiet"],
+        Situation::Peak => &["changes"],
+        Situation::Restarts | Situation::Rack => &["churn"],
+        Situation::Zone => &["zone"],
+        Situation::Region => &["region"],
+        Situation::PowerLoss => &[LAUNCH, "start"],
     }
 }
 
-/// All routers start at once.
-const LAUNCH: &str = "launch";
+/// The greatest of what the scale run measured over routers, hosts and tenants, the others held.
+pub fn scale_run(inputs: &Inputs, role: Role, quantity: &'static str, situation: Situation) -> Estimate {
+    Estimate::greatest(scale_phases(situation).iter().map(|phase| over_sizes(inputs, role, quantity, phase)))
+}
 
-/// The greatest of what was measured over routers, hosts and tenants, the others held.
-pub fn over_sizes(inputs: &Inputs, role: Role, quantity: &'static str, phase: &'static str) -> Estimate {
+fn over_sizes(inputs: &Inputs, role: Role, quantity: &'static str, phase: &'static str) -> Estimate {
     let fleet = &inputs.target.fleet;
     let sizes = [("routers", fleet.routers), ("hosts", fleet.hosts), ("tenants", fleet.tenants)];
     // A launch that a frame limit ends has figures as well, of routers that never were ready.
     let comparable = sizes.into_iter().filter(|(per, _)| phase != LAUNCH || *per == "routers");
-    Estimate::greatest(
-        comparable.map(|(per, size)| inputs.measured(Need { role, quantity, phase, per }, size)),
-    )
+    let measured = comparable.map(|(per, size)| inputs.measured(Need { role, quantity, phase, per }, size));
+    Estimate::greatest(measured)
 }
 
 fn process(inputs: &Inputs, quantity: &'static str, situation: Situation) -> Estimate {
-    over_sizes(inputs, Role::HollowRouter, quantity, scale_phase(situation))
+    scale_run(inputs, Role::HollowRouter, quantity, situation)
 }
 
 fn fleet_time(inputs: &Inputs, quantity: &'static str, situation: Situation) -> Estimate {
-    over_sizes(inputs, Role::Fleet, quantity, scale_phase(situation))
+    scale_run(inputs, Role::Fleet, quantity, situation)
 }
 
 fn in_force(inputs: &Inputs, situation: Situation) -> Estimate {
--- a/crates/spokeflow-lab/src/capacity/rows/data.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/data.rs
@@ -84,21 +84,24 @@
     inputs.measured(need, end.hosts_per_router)
 }
 
-/// What the module was doing when it was measured that is nearest to a situation.
-fn phase(situation: Situation) -> &'static str {
+/// What the module was doing when it was measured that is nearest to a situation: the dearest of these counts.
+fn phases(situation: Situation) -> &'static [&'static str] {
     match situation {
-        Situation::Mean | Situation::Region => "quiet",
+        Situation::Mean | Situation::Region => &["quiet"],
+        Situation::Peak => &["quiet", "trial", "cold"],
+        Situation::Restarts | Situation::Rack | Situation::Zone => &["changing", "cold"],
         // Routers that start have no news of any build yet.
-        Situation::PowerLoss => "unannounced",
-        Situation::Peak => "trial",
-        Situation::Restarts | Situation::Rack | Situation::Zone => "changing",
+        Situation::PowerLoss => &["unannounced", "cold"],
     }
 }
 
 /// Seconds of one core for a quantity that is measured in microseconds over hosts.
 fn module_work(inputs: &Inputs, quantity: &'static str, end: &End, situation: Situation) -> Estimate {
-    let need = Need { role: Role::RouterData, quantity, phase: phase(situation), per: "hosts" };
-    inputs.measured(need, end.hosts_per_router).times(SECONDS_PER_MICROSECOND)
+    let measured = phases(situation).iter().map(|phase| {
+        let need = Need { role: Role::RouterData, quantity, phase, per: "hosts" };
+        inputs.measured(need, end.hosts_per_router)
+    });
+    Estimate::dearest(measured).times(SECONDS_PER_MICROSECOND)
 }
 
 fn work(inputs: &Inputs, end: &End, situation: Situation) -> Estimate {
--- a/crates/spokeflow-lab/src/capacity/rows/voter.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/voter.rs
@@ -7,7 +7,7 @@
 use super::super::remedy::Remedy;
 use super::super::row::{Budget, Row, Unit};
 use super::super::situation::WindowLoad;
-use super::control::{over_sizes, scale_phase, OFFER_FITS};
+use super::control::{scale_run, OFFER_FITS};
 use super::{Inputs, BYTES_PER_MB};
 
 const KEEPER: &str = "`spokeflow-keeper`; `spokeflow-agreed`, `Keeper`";
@@ -155,23 +155,19 @@
     let assumed = &inputs.target.assumptions;
     let rows = [Role::VoterLeader, Role::VoterFollower].map(|role| {
         [
-            Row::varying(role, "processor", Unit::Cores, |s| {
-                over_sizes(inputs, role, "processor_share", scale_phase(s))
-            })
-            .within(Budget::new(assumed.voter_cores, "cores that a voter's one thread can use (assumed)"))
-            .by(KEEPER)
-            .mended_by(Remedy::RelayPerRegion),
-            Row::varying(role, "memory", Unit::Bytes, |s| {
-                over_sizes(inputs, role, "memory_peak", scale_phase(s))
-            })
-            .within(Budget::new(
-                assumed.control_machine_mb * BYTES_PER_MB,
-                "memory of a control machine (assumed)",
-            ))
-            .by(KEEPER)
-            .mended_by(Remedy::RelayPerRegion),
+            Row::varying(role, "processor", Unit::Cores, |s| scale_run(inputs, role, "processor_share", s))
+                .within(Budget::new(assumed.voter_cores, "cores that a voter's one thread can use (assumed)"))
+                .by(KEEPER)
+                .mended_by(Remedy::RelayPerRegion),
+            Row::varying(role, "memory", Unit::Bytes, |s| scale_run(inputs, role, "memory_peak", s))
+                .within(Budget::new(
+                    assumed.control_machine_mb * BYTES_PER_MB,
+                    "memory of a control machine (assumed)",
+                ))
+                .by(KEEPER)
+                .mended_by(Remedy::RelayPerRegion),
             Row::varying(role, "bytes sent, measured on its links", Unit::BytesPerSecond, |s| {
-                over_sizes(inputs, role, "bytes_sent", scale_phase(s))
+                scale_run(inputs, role, "bytes_sent", s)
             })
             .within(Budget::new(
                 assumed.control_machine_mb_per_second * BYTES_PER_MB,
