Capacity: the lease holder by its new name

Change: the page and the copied limits name LeaseHolder, as its source does now. The other tests of spokeflow-lab were not run with this text.

--- a/crates/spokeflow-lab/src/capacity/page/sections.rs
+++ b/crates/spokeflow-lab/src/capacity/page/sections.rs
@@ -132,7 +132,7 @@
             row(
                 format!("{beyond} voters"),
                 format!("no changes; after {held} s every router serves by the standing build alone"),
-                "`Holder`, engine",
+                "`LeaseHolder`, engine",
             ),
             row(
                 "a region, or the way to it".into(),
@@ -140,7 +140,7 @@
                     "its {routers} routers serve by the standing build alone and get no change until it is back; a majority of \
                      voters elsewhere goes on"
                 ),
-                "`Holder`, `Member`",
+                "`LeaseHolder`, `Member`",
             ),
             row(
                 "the list source".into(),
--- a/crates/spokeflow-lab/src/capacity/rows/control.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/control.rs
@@ -8,7 +8,7 @@
 use super::super::situation::{Situation, WindowLoad};
 use super::{Inputs, BYTES_PER_KB, BYTES_PER_MB};
 
-const LINK: &str = "`spokeflow-router`, `KeeperLink`; `spokeflow-agreed`, `Holder`";
+const LINK: &str = "`spokeflow-router`, `KeeperLink`; `spokeflow-agreed`, `LeaseHolder`";
 /// One to a voter, one to the list source, one to the release controller.
 const CONNECTIONS: f64 = 3.0;
 pub const OFFER_FITS: &str = "an offer of this size is accepted";
--- a/crates/spokeflow-lab/tests/capacity.rs
+++ b/crates/spokeflow-lab/tests/capacity.rs
@@ -267,7 +267,12 @@
             limits::LIST_CHANGES_KEPT,
             4096.0,
         ),
-        ("crates/spokeflow-agreed/src/lease_holder.rs", "self.terms.held() / 3", limits::RENEWALS_PER_LEASE, 3.0),
+        (
+            "crates/spokeflow-agreed/src/lease_holder.rs",
+            "self.terms.held() / 3",
+            limits::RENEWALS_PER_LEASE,
+            3.0,
+        ),
         (
             "crates/spokeflow-keeper/src/list.rs",
             "const WHOLE_EVERY: Duration = Duration::from_secs(2);",
