Capacity: time added over sockets measured, beside the pass-through of the same runs

The row names no mechanism that would mend it, since what it is made of is not known; the page shows the pass-through beside it.

--- a/crates/spokeflow-lab/src/capacity/rows/data.rs
+++ b/crates/spokeflow-lab/src/capacity/rows/data.rs
@@ -33,13 +33,20 @@
             Role::RouterData,
             name("time added to 99 of 100 requests, with what measures it"),
             Unit::Seconds,
-            over_sockets(inputs, served::ADDED_P99, end).times(SECONDS_PER_MILLISECOND),
+            over_sockets(inputs, served::PHASE, served::ADDED_P99, end).times(SECONDS_PER_MILLISECOND),
         )
         .within(added.clone())
-        .by("`spokeflow-router`")
-        .mended_by(Remedy::KeptFigures),
+        .by("`spokeflow-router`"),
+        Row::steady(
+            Role::RouterData,
+            name("the same through a plain pass-through in the same runs"),
+            Unit::Seconds,
+            over_sockets(inputs, served::PASS_PHASE, served::ADDED_P99, end).times(SECONDS_PER_MILLISECOND),
+        )
+        .by("what measures it"),
         Row::varying(Role::RouterData, name("processor of the whole process"), Unit::Cores, |s| {
-            let request = over_sockets(inputs, served::PROCESSOR, end).times(SECONDS_PER_MICROSECOND);
+            let request =
+                over_sockets(inputs, served::PHASE, served::PROCESSOR, end).times(SECONDS_PER_MICROSECOND);
             request.times(requests_per_second(inputs, end, s))
         })
         .by("`spokeflow-router`"),
@@ -47,7 +54,7 @@
             Role::RouterData,
             name("memory of the whole process"),
             Unit::Bytes,
-            over_sockets(inputs, served::RESIDENT, end),
+            over_sockets(inputs, served::PHASE, served::RESIDENT, end),
         )
         .by("`spokeflow-router`"),
         Row::varying(Role::RouterData, name("processor of the module"), Unit::Cores, |s| {
@@ -79,8 +86,8 @@
 }
 
 /// What was measured of a real router on sockets, at the rate of one router of the target.
-fn over_sockets(inputs: &Inputs, quantity: &'static str, end: &End) -> Estimate {
-    let need = Need { role: Role::RouterData, quantity, phase: served::PHASE, per: "hosts" };
+fn over_sockets(inputs: &Inputs, phase: &'static str, quantity: &'static str, end: &End) -> Estimate {
+    let need = Need { role: Role::RouterData, quantity, phase, per: "hosts" };
     inputs.measured(need, end.hosts_per_router)
 }
 
--- a/crates/spokeflow-lab/src/capacity/served.rs
+++ b/crates/spokeflow-lab/src/capacity/served.rs
@@ -14,7 +14,7 @@
 pub const PROCESSOR: &str = "processor time of the process for a request";
 pub const RESIDENT: &str = "resident memory of the process under load";
 pub const PHASE: &str = "router, quiet";
-const PASS_PHASE: &str = "pass-through, quiet";
+pub const PASS_PHASE: &str = "pass-through, quiet";
 const BYTES_PER_KIB: f64 = 1024.0;
 const CONNECTIONS: u32 = 20;
 
