--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -315,18 +315,23 @@
         value = {name: int(re.search(name + r":\s*(\d+)", text).group(1)) for name in ("VmRSS", "VmHWM")}
         return value["VmRSS"], value["VmHWM"]
 
-    async def wait_until_up(self, within=30.0):
-        until = time.monotonic() + within
-        while time.monotonic() < until:
+    async def is_up(self, within):
+        """Whether the router answers the front's question in time that it is up."""
+        try:
+            reader, writer = await asyncio.open_connection(*self.listen)
             try:
-                reader, writer = await asyncio.open_connection(*self.listen)
                 writer.write(b"GET /up HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n")
-                line = await asyncio.wait_for(reader.readline(), 1.0)
+                return b" 200 " in await asyncio.wait_for(reader.readline(), within)
+            finally:
                 writer.close()
-                if b" 200 " in line:
-                    return
-            except (OSError, asyncio.TimeoutError):
-                pass
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    async def wait_until_up(self, within=30.0):
+        until = time.monotonic() + within
+        while time.monotonic() < until:
+            if await self.is_up(1.0):
+                return
             await asyncio.sleep(0.05)
         raise CannotRun("router %s was not ready within %.0f s" % (self.name, within))
 
@@ -353,7 +358,13 @@
 def start(main):
     """Runs a case and ends with its exit code. Stand-ins that still serve end with the process."""
     loop = asyncio.new_event_loop()
-    code = loop.run_until_complete(main)
+    task = loop.create_task(main)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        code = loop.run_until_complete(task)
+    except asyncio.CancelledError:
+        code = 2
     sys.stdout.flush()
     os._exit(code)
 
