--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -129,7 +129,7 @@
         self.phase = "Ready"
         self.up_since_ms = 0
         self.received = []  # (time, id) of each request whose last byte has come
-        self.started = set()
+        self.open = set()
 
     async def start(self):
         address = "127.%d.%d.%d" % (self.stand.net[0], self.stand.net[1], 20 + len(self.stand.hosts))
@@ -138,6 +138,13 @@
         self.stand.hosts.append(self)
         return self
 
+    async def end(self):
+        """Ends the host: its connections close, new ones are refused, discovery lists it as gone."""
+        self.phase = "Gone"
+        self.server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+
     def entry(self):
         return {"id": self.name, "host_port": self.address, "locality": self.zone, "flavor": "c1-std",
                 "cell": self.cell, "phase": self.phase, "size": 1.0, "up_since_ms": self.up_since_ms,
@@ -145,6 +152,7 @@
 
     async def serve(self, reader, writer):
         record = self.stand.record
+        self.open.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -174,6 +182,7 @@
         except (asyncio.IncompleteReadError, OSError):
             pass
         finally:
+            self.open.discard(writer)
             writer.close()
 
 
@@ -288,6 +297,7 @@
         self.stand = stand
         self.number = number
         self.name = "n%d" % number
+        self.process = None
 
     def start(self, config):
         stand = self.stand
@@ -363,7 +373,8 @@
         loop.add_signal_handler(number, task.cancel)
     try:
         code = loop.run_until_complete(task)
-    except asyncio.CancelledError:
+    except BaseException as error:  # whatever went wrong in the stand-ins says nothing about the rule
+        print("case could not run: %r" % error)
         code = 2
     sys.stdout.flush()
     os._exit(code)
@@ -387,6 +398,7 @@
 
     def listing(self, hosts=None, complete=True):
         hosts = self.hosts if hosts is None else hosts
+        hosts = [h for h in hosts if not (complete and h.phase == "Gone")]
         return json.dumps({"revision": self.revision, "complete": complete, "members": [h.entry() for h in hosts]})
 
     def tell(self, hosts):
@@ -468,7 +480,7 @@
         return request
 
     async def close(self):
-        for process in self.others + [router.process for router in self.routers]:
+        for process in self.others + [router.process for router in self.routers if router.process]:
             if process.poll() is None:
                 process.send_signal(signal.SIGKILL)
             process.wait()
