Platform: bound the host list and the deployer's reports by the told memory

Cause: a listing was bounded by 4 MiB of text alone, whatever the memory, and looked at only as the text doubled, so up to 8 MiB; each host of it costs more parsed and in the engine than as text, names had no maximum length, and the table kept every host that was ever listed within the longest timeout. A decoder kept the block of the longest listing, since what followed it was a slice of that block. Listings and reports waited in a queue of 4,096 events of any size. Ruled out: the engine's own lists, which hold no text.

Change: shares for the text and for hosts in `memory_limits.rs`. A listing that is longer or has more hosts than its share is an error as soon as that is read: the watch is opened anew and the list held stays in force. The table knows as many hosts as one listing may name and as many that have gone lately; one beyond is not known, and a log line says how many. A host's name, address and zone have 256 bytes at most, and a report of a longer name is of no host. One listing at a time is handed to the engine.

--- a/crates/spokeflow-platform/src/discovery.rs
+++ b/crates/spokeflow-platform/src/discovery.rs
@@ -12,14 +12,14 @@
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tokio_util::codec::Decoder;
 use tracing::info;
 
 use crate::endpoint_table::Listing;
 use crate::event::EngineEvent;
-use crate::listing_decoder::{ListingDecoder, ListingError};
+use crate::listing_decoder::{ListingDecoder, ListingError, ListingLimits};
 
 /// Time without input, or with an incomplete listing, after which the connection counts as dead. Discovery sends an
 /// empty line every 2 s while nothing changes, so this is more than two of them.
@@ -69,6 +69,7 @@
     /// The newest revision that was handed to the engine's task.
     pub(crate) after: u64,
     pub(crate) backoff: Backoff,
+    pub(crate) limits: ListingLimits,
 }
 
 /// Returns the number of failures in a row after one more. A watch that was up counts as no failure, also if the list
@@ -125,7 +126,7 @@
     }
 
     async fn read_watch(&mut self, address: SocketAddr) -> Result<Infallible, WatchError> {
-        let mut reader = WatchReader::open(address, self.after).await?;
+        let mut reader = WatchReader::open(address, self.after, self.limits).await?;
         loop {
             reader.decode()?;
             while let Some(listing) = reader.next_listing()? {
@@ -135,18 +136,19 @@
         }
     }
 
-    /// Hands a listing to the engine's task. After a move, the new address may lag behind the old one, so changes older
-    /// than those received are dropped.
+    /// Hands a listing to the engine's task and waits until it has been applied, so that one listing at a time is held.
+    /// After a move, the new address may lag behind the old one, so changes older than those received are dropped.
     async fn hand_over(&mut self, listing: Listing) -> Result<(), WatchError> {
         let revision = listing.revision;
         if !listing.complete && revision < self.after {
             return Ok(());
         }
-        let event = EngineEvent::EndpointsListed(listing);
+        let (applied, is_applied) = oneshot::channel();
+        let event = EngineEvent::EndpointsListed { listing, applied };
         let sent = self.events.send(event).await;
         sent.map_err(|_| WatchError::ShuttingDown)?;
         self.after = revision;
-        Ok(())
+        is_applied.await.map_err(|_| WatchError::ShuttingDown)
     }
 }
 
@@ -164,7 +166,11 @@
 
 impl WatchReader {
     /// Connects and requests the changes after a revision.
-    async fn open(address: SocketAddr, after: u64) -> Result<Self, WatchError> {
+    async fn open(
+        address: SocketAddr,
+        after: u64,
+        limits: ListingLimits,
+    ) -> Result<Self, WatchError> {
         let mut stream = timeout(ANSWER_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| WatchError::Unanswered)??;
@@ -176,7 +182,7 @@
             stream,
             buffer: BytesMut::with_capacity(READ_BUFFER_SIZE),
             codec: ResponseCodec::new(u64::MAX),
-            listings: ListingDecoder::default(),
+            listings: ListingDecoder::new(limits),
             has_begun: false,
             mid_listing_since: None,
         })
--- a/crates/spokeflow-platform/src/endpoint_table.rs
+++ b/crates/spokeflow-platform/src/endpoint_table.rs
@@ -4,10 +4,14 @@
 
 use std::collections::HashMap;
 
-use serde::Deserialize;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
 use spokeflow_core::Micros;
 use spokeflow_proto::{EndpointPhase, EndpointRecord, FromList, HostSize};
 
+/// Maximum length of a host's name, address or zone, in bytes.
+pub(crate) const MAX_TEXT_LENGTH: usize = 256;
+
 /// The host list, or the changes of it, in discovery's form.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct Listing {
@@ -22,11 +26,12 @@
 /// One host of a listing.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct Member {
+    #[serde(deserialize_with = "short_text")]
     id: String,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "short_text")]
     host_port: String,
     /// Name of the zone.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "short_text")]
     locality: String,
     #[serde(default)]
     cell: u16,
@@ -41,6 +46,17 @@
     revision_no: Option<u16>,
 }
 
+/// Reads a text of at most [`MAX_TEXT_LENGTH`] bytes.
+fn short_text<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    if text.len() > MAX_TEXT_LENGTH {
+        let length = text.len();
+        let expected = format!("a text of at most {MAX_TEXT_LENGTH} bytes");
+        return Err(D::Error::invalid_length(length, &expected.as_str()));
+    }
+    Ok(text)
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 enum Phase {
     Ready,
@@ -73,6 +89,8 @@
 pub(crate) struct ListMessages {
     pub(crate) list: FromList,
     pub(crate) sizes: FromList,
+    /// Number of listed hosts for which the table has no room.
+    pub(crate) without_room: usize,
 }
 
 /// The hosts that discovery has listed.
@@ -87,16 +105,20 @@
     last_incarnation: u64,
     /// Time after which no delivery to a host that has gone can still be open, in microseconds.
     forget_after: Micros,
+    /// Maximum number of entries. A host that is listed beyond it is not known.
+    max_hosts: usize,
 }
 
 impl EndpointTable {
-    pub(crate) fn new(zones: Vec<String>, forget_after: Micros) -> Self {
+    /// Creates an empty table of at most `max_hosts` hosts. `forget_after` is in microseconds.
+    pub(crate) fn new(zones: Vec<String>, forget_after: Micros, max_hosts: usize) -> Self {
         EndpointTable {
             numbers: HashMap::new(),
             entries: Vec::new(),
             zones,
             last_incarnation: 0,
             forget_after,
+            max_hosts,
         }
     }
 
@@ -110,11 +132,14 @@
     pub(crate) fn apply(&mut self, listing: Listing, now: Micros, unix_ms: u64) -> ListMessages {
         let mut records = Vec::new();
         let mut sizes = Vec::new();
+        let mut without_room = 0;
         let complete = listing.complete;
         let mut named = vec![false; self.entries.len()];
         for member in listing.members {
             let size = member.size;
+            let is_gone = member.phase == Phase::Gone;
             let Some(record) = self.record(member, now, unix_ms) else {
+                without_room += usize::from(!is_gone);
                 continue;
             };
             named.resize(self.entries.len(), false);
@@ -143,17 +168,18 @@
         ListMessages {
             list,
             sizes: FromList::Sizes { sizes },
+            without_room,
         }
     }
 
     /// Updates the entry of a listed host and returns its record for the engine; `None` if a host that is not known is
-    /// listed as gone.
+    /// listed as gone or finds no room.
     fn record(&mut self, member: Member, now: Micros, unix_ms: u64) -> Option<EndpointRecord> {
         let gone = member.phase == Phase::Gone;
         let host = match self.numbers.get(&member.id) {
             Some(host) => *host,
             None if gone => return None,
-            None => self.add(&member.id, now),
+            None => self.add(&member.id, now)?,
         };
         let entry = &mut self.entries[host as usize];
         if gone {
@@ -196,8 +222,8 @@
         })
     }
 
-    /// Adds a host and returns its number, which may be that of a host gone for long enough.
-    fn add(&mut self, name: &str, now: Micros) -> u32 {
+    /// Adds a host and returns its number, which may be that of a host gone for long enough; `None` if the table is full.
+    fn add(&mut self, name: &str, now: Micros) -> Option<u32> {
         let is_reusable = |entry: &Entry| {
             entry
                 .gone_since
@@ -217,13 +243,14 @@
                 self.numbers.remove(&previous.name);
                 index
             }
+            None if self.entries.len() >= self.max_hosts => return None,
             None => {
                 self.entries.push(entry);
                 self.entries.len() - 1
             }
         };
         self.numbers.insert(name.to_string(), host as u32);
-        host as u32
+        Some(host as u32)
     }
 }
 
--- a/crates/spokeflow-platform/src/engine_state.rs
+++ b/crates/spokeflow-platform/src/engine_state.rs
@@ -6,7 +6,7 @@
 use spokeflow_engine::{Engine, Input};
 use spokeflow_proto::{FrameError, FromController, FromList, RolloutUpdate, ToClient};
 use spokeflow_runtime::Clock;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
 use crate::endpoint_table::{EndpointTable, Listing};
 use crate::event::EngineEvent;
@@ -70,7 +70,10 @@
                 self.transport.on_delivery_ended(host, delivery, connection);
                 self.input(input);
             }
-            EngineEvent::EndpointsListed(listing) => self.on_listing(listing, false),
+            EngineEvent::EndpointsListed { listing, applied } => {
+                self.on_listing(listing, false);
+                let _ = applied.send(());
+            }
             EngineEvent::RolloutUpdated(update) => self.on_rollout_update(update),
             EngineEvent::WrongAnswerReport {
                 host_name,
@@ -125,6 +128,15 @@
     /// Passes a listing to the engine. `cached`: it comes from the configuration and may be old.
     pub(crate) fn on_listing(&mut self, listing: Listing, cached: bool) {
         let messages = self.endpoints.apply(listing, self.clock.now(), unix_ms());
+        if messages.without_room > 0 {
+            if let Some(suppressed) = self.clock.allow_log_line() {
+                let hosts = messages.without_room;
+                warn!(
+                    hosts,
+                    suppressed, "hosts not known: no room in the host list"
+                );
+            }
+        }
         self.input(match messages.list {
             FromList::Complete { endpoints, .. } | FromList::Changes { endpoints, .. }
                 if cached =>
--- a/crates/spokeflow-platform/src/event.rs
+++ b/crates/spokeflow-platform/src/event.rs
@@ -34,7 +34,11 @@
         connection_use: Option<ConnectionUse>,
     },
     /// Discovery has sent the host list or changes of it.
-    EndpointsListed(Listing),
+    EndpointsListed {
+        listing: Listing,
+        /// Notified once the listing has been applied.
+        applied: oneshot::Sender<()>,
+    },
     /// The release controller has sent the state of a rollout.
     RolloutUpdated(RolloutUpdate),
     /// The release controller has reported a wrong answer of this host to a delivery sent `sent_ago_us` ago.
--- a/crates/spokeflow-platform/src/listing_decoder.rs
+++ b/crates/spokeflow-platform/src/listing_decoder.rs
@@ -5,21 +5,32 @@
 
 use crate::endpoint_table::Listing;
 
-/// Maximum length of a listing, in bytes.
-const MAX_LISTING_SIZE: usize = 4 << 20;
+/// Number of brackets that are open within the object of a host: of the listing, of its members, of the host.
+const HOST_DEPTH: usize = 3;
+
+/// Maximum sizes of a listing.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ListingLimits {
+    /// Length in bytes.
+    pub(crate) size: usize,
+    /// Number of hosts.
+    pub(crate) hosts: usize,
+}
 
 /// The reason why the bytes received are not a listing.
 #[derive(Debug, Error)]
 pub(crate) enum ListingError {
     #[error("not a valid listing object: {0}")]
     Unreadable(#[from] serde_json::Error),
-    #[error("object of more than {MAX_LISTING_SIZE} bytes is incomplete")]
-    TooLong,
+    #[error("object of more than {limit} bytes, which memory does not allow")]
+    TooLong { limit: usize },
+    #[error("more than {limit} hosts, which memory does not allow")]
+    TooManyHosts { limit: usize },
 }
 
 /// Decoder of a sequence of listings, each a JSON object on one line or over several.
-#[derive(Default)]
 pub(crate) struct ListingDecoder {
+    limits: ListingLimits,
     text: BytesMut,
     /// Number of bytes of `text` that have been scanned.
     scanned: usize,
@@ -32,9 +43,24 @@
     /// Length of `text` at which it is parsed although it is incomplete. It doubles with each attempt, so that invalid
     /// text is found early and a long listing costs only a few parses.
     parse_at: usize,
+    /// Number of hosts in the scanned bytes.
+    hosts: usize,
 }
 
 impl ListingDecoder {
+    pub(crate) fn new(limits: ListingLimits) -> Self {
+        ListingDecoder {
+            limits,
+            text: BytesMut::new(),
+            scanned: 0,
+            depth: 0,
+            quoted: false,
+            escaped: false,
+            parse_at: 0,
+            hosts: 0,
+        }
+    }
+
     /// Appends bytes of the response.
     pub(crate) fn push(&mut self, data: &[u8]) {
         self.text.extend_from_slice(data);
@@ -54,7 +80,10 @@
                 b'\\' => self.escaped = self.quoted,
                 b'"' => self.quoted = !self.quoted,
                 _ if self.quoted => {}
-                b'{' | b'[' => self.depth += 1,
+                b'{' | b'[' => {
+                    self.depth += 1;
+                    self.hosts += usize::from(self.depth == HOST_DEPTH);
+                }
                 b'}' | b']' => {
                     self.depth = self.depth.saturating_sub(1);
                     if self.depth == 0 {
@@ -71,9 +100,11 @@
     ///
     /// # Errors
     ///
-    /// The text is not a valid listing, or is incomplete and longer than [`MAX_LISTING_SIZE`].
+    /// The text is not a valid listing, or is longer or has more hosts than the limits allow.
     pub(crate) fn next(&mut self) -> Result<Option<Listing>, ListingError> {
-        if !self.scan_to_object_end() && self.text.len() < self.parse_at {
+        let is_complete = self.scan_to_object_end();
+        self.check_limits()?;
+        if !is_complete && self.text.len() < self.parse_at {
             return Ok(None);
         }
         let mut parser = serde_json::Deserializer::from_slice(&self.text).into_iter::<Listing>();
@@ -81,26 +112,38 @@
         let end = parser.byte_offset();
         match parsed {
             Some(Ok(listing)) => {
-                let rest = self.text.split_off(end);
+                // A copy: the rest must not keep the memory of a long listing.
+                let rest = BytesMut::from(&self.text[end..]);
                 *self = ListingDecoder {
                     text: rest,
-                    ..ListingDecoder::default()
+                    ..ListingDecoder::new(self.limits)
                 };
                 Ok(Some(listing))
             }
             None => {
                 // Only white space, which discovery sends while nothing changes.
-                *self = ListingDecoder::default();
+                *self = ListingDecoder::new(self.limits);
                 Ok(None)
             }
             Some(Err(error)) if !error.is_eof() => Err(error.into()),
-            Some(Err(_)) if self.text.len() > MAX_LISTING_SIZE => Err(ListingError::TooLong),
             Some(Err(_)) => {
                 self.parse_at = 2 * self.text.len();
                 Ok(None)
             }
         }
     }
+
+    /// Checks the scanned bytes against the limits.
+    fn check_limits(&self) -> Result<(), ListingError> {
+        let ListingLimits { size, hosts } = self.limits;
+        if self.scanned > size {
+            return Err(ListingError::TooLong { limit: size });
+        }
+        if self.hosts > hosts {
+            return Err(ListingError::TooManyHosts { limit: hosts });
+        }
+        Ok(())
+    }
 }
 
 #[cfg(test)]
--- a/crates/spokeflow-platform/src/memory_limits.rs
+++ b/crates/spokeflow-platform/src/memory_limits.rs
@@ -12,6 +12,12 @@
 const MESSAGE_LIMIT: usize = BODY_LIMIT + HEAD_LIMIT + PAGE_SIZE;
 /// Memory of a connection without its messages, in bytes: its task, the small read buffer, a head and timers.
 const CONNECTION_SIZE: usize = 6 << 10;
+/// Memory of a listed host in the endpoint table, the engine and the decision module, in bytes.
+const HOST_SIZE: usize = 768;
+/// Memory of a host that has gone and whose number cannot be used again yet, in bytes.
+const GONE_HOST_SIZE: usize = 256;
+/// Longest listing that is read with any amount of memory, in bytes.
+const MAX_LISTING_SIZE: usize = 4 << 20;
 
 /// The shares are in parts of this number. What they leave is for the program itself.
 const WHOLE: usize = 32;
@@ -25,6 +31,10 @@
 const ANSWERS_SHARE: usize = 3;
 /// Share of the enlarged read buffers of all connections.
 const READ_BUFFERS_SHARE: usize = 1;
+/// Share of the text of a listing. Its parsed form takes up to as much again.
+const LISTING_SHARE: usize = 2;
+/// Share of the listed hosts, and of as many that have gone.
+const HOSTS_SHARE: usize = 4;
 
 /// Maximum sizes of what the router holds for its peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +49,12 @@
     pub(crate) answers: usize,
     /// Memory for the enlarged read buffers of all connections, in bytes.
     pub(crate) read_buffers: usize,
+    /// Maximum length of a listing, in bytes.
+    pub(crate) listing: usize,
+    /// Maximum number of hosts in a listing.
+    pub(crate) hosts: usize,
+    /// Maximum number of hosts that are known: those listed, and as many that have gone lately.
+    pub(crate) known_hosts: usize,
 }
 
 impl MemoryLimits {
@@ -47,12 +63,16 @@
         let memory = usize::try_from(memory_mb).unwrap_or(usize::MAX);
         let part = memory.saturating_mul(MEGABYTE) / WHOLE;
         let share = |parts: usize| part.saturating_mul(parts);
+        let hosts = share(HOSTS_SHARE) / (HOST_SIZE + GONE_HOST_SIZE);
         MemoryLimits {
             connections: share(CONNECTIONS_SHARE) / CONNECTION_SIZE,
             short_messages: share(SHORT_MESSAGES_SHARE),
             requests: share(REQUESTS_SHARE).max(MESSAGE_LIMIT),
             answers: share(ANSWERS_SHARE).max(MESSAGE_LIMIT),
             read_buffers: share(READ_BUFFERS_SHARE).max(MESSAGE_LIMIT),
+            listing: share(LISTING_SHARE).min(MAX_LISTING_SIZE),
+            hosts,
+            known_hosts: hosts.saturating_mul(2),
         }
     }
 
--- a/crates/spokeflow-platform/src/release_controller.rs
+++ b/crates/spokeflow-platform/src/release_controller.rs
@@ -16,6 +16,7 @@
 use tokio_util::codec::{Decoder, Encoder, Framed, LinesCodec, LinesCodecError};
 use tracing::{debug, info};
 
+use crate::endpoint_table::MAX_TEXT_LENGTH;
 use crate::event::EngineEvent;
 use crate::rollout_line::{RolloutLine, EXPECTED_STATE};
 use spokeflow_runtime::{Backoff, Clock};
@@ -166,6 +167,10 @@
         ["*", "report", unit, _, ago_ms] => {
             let ago_ms: Result<u64, _> = ago_ms.parse();
             let ago_ms = ago_ms.map_err(|_| SubscriptionError::InvalidAge(line.to_string()))?;
+            // No host has a longer name, so the report is of none.
+            if unit.len() > MAX_TEXT_LENGTH {
+                return Ok(None);
+            }
             Ok(Some(EngineEvent::WrongAnswerReport {
                 host_name: unit.to_string(),
                 sent_ago_us: ago_ms.saturating_mul(1000),
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -27,6 +27,8 @@
 use crate::event::EngineEvent;
 use crate::idle_lifetime::IdleLifetime;
 use crate::listener_context::ListenerContext;
+use crate::listing_decoder::ListingLimits;
+use crate::memory_limits::MemoryLimits;
 use crate::memory_pool::MemoryPool;
 use crate::message_buffer::MessageMemory;
 use crate::program::{PlatformProgram, Signals};
@@ -83,6 +85,7 @@
     seed: u64,
     /// Revision of the host list in the configuration; 0 if it has none.
     after: u64,
+    listing_limits: ListingLimits,
 }
 
 impl Sources {
@@ -97,6 +100,7 @@
             clock: self.clock.clone(),
             events: self.events.clone(),
             after: self.after,
+            limits: self.listing_limits,
         };
         tasks.spawn(watch.run());
         let subscription = Subscription {
@@ -117,6 +121,7 @@
 
 fn sources(
     configuration: &Configuration,
+    memory: &MemoryLimits,
     clock: Arc<Clock>,
     events: mpsc::Sender<EngineEvent>,
 ) -> (SourceAddresses, Sources) {
@@ -134,6 +139,10 @@
         events,
         seed: configuration.seed,
         after: known.map_or(0, |known| known.revision),
+        listing_limits: ListingLimits {
+            size: memory.listing,
+            hosts: memory.hosts,
+        },
     };
     (addresses, sources)
 }
@@ -150,7 +159,12 @@
     let derived = Derived::new(&configuration);
     let (events, event_queue) = mpsc::channel(EVENT_QUEUE);
     let (closing, is_closing) = watch::channel(false);
-    let (addresses, sources) = sources(&configuration, clock.clone(), events.clone());
+    let (addresses, sources) = sources(
+        &configuration,
+        &derived.memory,
+        clock.clone(),
+        events.clone(),
+    );
     let context = listener_context(&configuration, &derived, clock.clone(), events, is_closing);
     let context = Arc::new(context);
     let transport = transport(
@@ -264,7 +278,11 @@
     let mut state = EngineState {
         engine,
         transport,
-        endpoints: EndpointTable::new(configuration.settings.zones, forget_after),
+        endpoints: EndpointTable::new(
+            configuration.settings.zones,
+            forget_after,
+            derived.memory.known_hosts,
+        ),
         clock,
     };
     if let Some(known) = configuration.known {
--- a/crates/spokeflow-platform/tests/unit/discovery.rs
+++ b/crates/spokeflow-platform/tests/unit/discovery.rs
@@ -63,6 +63,10 @@
         events,
         after: 7,
         backoff,
+        limits: ListingLimits {
+            size: 64 << 10,
+            hosts: 100,
+        },
     };
     tokio::spawn(discovery_watch.run());
     assert!(requests.recv().await.unwrap().contains("after=7 "));
@@ -78,6 +82,6 @@
         Some(EngineEvent::ClientDisconnected(0))
     ));
     assert!(
-        matches!(event_receiver.recv().await, Some(EngineEvent::EndpointsListed(listing)) if listing.revision == 41)
+        matches!(event_receiver.recv().await, Some(EngineEvent::EndpointsListed { listing, .. }) if listing.revision == 41)
     );
 }
--- a/crates/spokeflow-platform/tests/unit/memory_limits.rs
+++ b/crates/spokeflow-platform/tests/unit/memory_limits.rs
@@ -25,11 +25,13 @@
     let connections = connections.clients + connections.hosts;
     let short_messages = connections * memory.short_message(connections);
     let long_messages = memory.requests + memory.answers + memory.read_buffers;
-    connections * CONNECTION_SIZE + short_messages + long_messages
+    let gone = memory.known_hosts - memory.hosts;
+    let hosts = 2 * memory.listing + memory.hosts * HOST_SIZE + gone * GONE_HOST_SIZE;
+    connections * CONNECTION_SIZE + short_messages + long_messages + hosts
 }
 
-/// Guards against bounds that hold one by one and not together: clients' requests, hosts' answers, read buffers and
-/// connections may all be at their bounds at once.
+/// Guards against bounds that hold one by one and not together: clients' requests, hosts' answers, read buffers, listings
+/// and connections may all be at their bounds at once.
 #[test]
 fn all_places_together_stay_inside_every_size_that_the_platform_names() {
     for limits in platform_limits() {
@@ -39,12 +41,14 @@
     }
 }
 
-/// Guards against a division that takes descriptors from a deployment of the named sizes.
+/// Guards against a division that takes descriptors from a deployment of the named sizes, or refuses its longest list.
 #[test]
-fn the_named_sizes_have_room_for_their_connections() {
+fn the_named_sizes_have_room_for_their_connections_and_hosts() {
     for limits in platform_limits() {
         let memory = MemoryLimits::new(limits.memory_mb);
         assert!(memory.connections as u64 >= limits.sockets, "{limits:?}");
+        assert!(memory.hosts >= 3_200, "{limits:?}: {} hosts", memory.hosts);
+        assert!(memory.listing >= 3_200 * 400, "{limits:?}");
         assert!(memory.short_message(1_000) >= 2 << 10, "{limits:?}");
     }
 }
@@ -56,4 +60,5 @@
         assert!(pool >= BODY_LIMIT + HEAD_LIMIT);
     }
     assert_eq!(memory.short_message(0), 0);
+    assert_eq!(MemoryLimits::new(u64::MAX).listing, MAX_LISTING_SIZE);
 }
--- a/crates/spokeflow-router/tests/memory/clients.rs
+++ b/crates/spokeflow-router/tests/memory/clients.rs
@@ -13,14 +13,14 @@
 /// Maximum length of a body in bytes, as the platform's protocol sets it.
 const BODY_LIMIT: usize = 64 << 10;
 /// How long each flood lasts.
-const FLOOD: Duration = Duration::from_secs(3);
+pub(crate) const FLOOD: Duration = Duration::from_secs(3);
 /// Time within which each usual request must have its answer.
 const USUAL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time within which each client of a flood must have an answer or a close.
 const FLOOD_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Share of the descriptors that the platform's clients hold for requests at most.
-const WHOLE_REQUESTS: f64 = 1.0 / 3.0;
+pub(crate) const WHOLE_REQUESTS: f64 = 1.0 / 3.0;
 /// Share of the descriptors for clients that never send a whole request: more than the router has for clients, so that
 /// it has to close some.
 const PARTIAL_REQUESTS: f64 = 0.7;
@@ -37,13 +37,13 @@
 }
 
 /// Four requests with bodies of full length, one behind another.
-fn long_bodies(connection: usize) -> Vec<u8> {
+pub(crate) fn long_bodies(connection: usize) -> Vec<u8> {
     let requests = (0..4).map(|n| long_post(&format!("flood-{connection}-{n}")));
     requests.collect::<Vec<_>>().concat()
 }
 
 /// A request with a chunked body that stops one byte before the full length.
-fn endless_chunked_body(connection: usize) -> Vec<u8> {
+pub(crate) fn endless_chunked_body(connection: usize) -> Vec<u8> {
     let head = seal_request(&format!("chunked-{connection}"));
     let head = head.strip_suffix("Content-Length: 4\r\n\r\nbody").unwrap();
     let size = BODY_LIMIT - 1;
@@ -54,7 +54,7 @@
 }
 
 /// A head that is almost as long as allowed and has no end.
-fn endless_head(connection: usize) -> Vec<u8> {
+pub(crate) fn endless_head(connection: usize) -> Vec<u8> {
     let mut bytes = format!("GET /read/k{connection} HTTP/1.1\r\nHost: h\r\n").into_bytes();
     while bytes.len() < 8_000 {
         bytes.extend_from_slice(b"Some-Field: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n");
@@ -70,7 +70,7 @@
 
 /// Sends `bytes` on new connections one after another, and reads what comes. Panics if a connection gets neither an
 /// answer nor a close in time.
-async fn flood_client(address: String, bytes: Vec<u8>, until: Instant) {
+pub(crate) async fn flood_client(address: String, bytes: Vec<u8>, until: Instant) {
     while Instant::now() < until {
         let Ok(mut stream) = TcpStream::connect(&address).await else {
             sleep(Duration::from_millis(20)).await;
@@ -103,7 +103,7 @@
 
 /// Sends short requests one after another until the flood is over, each on a connection of its own. Returns how many
 /// were served and how many refused; any other end of one is a failure.
-async fn usual_client(router: &TestRouter, until: Instant) -> (usize, usize) {
+pub(crate) async fn usual_client(router: &TestRouter, until: Instant) -> (usize, usize) {
     let (mut served, mut refused) = (0, 0);
     let mut n = 0;
     while Instant::now() < until {
--- a/crates/spokeflow-router/tests/memory/main.rs
+++ b/crates/spokeflow-router/tests/memory/main.rs
@@ -6,6 +6,8 @@
 mod common;
 mod hosts;
 mod limits;
+mod sources;
+mod together;
 
 use common::{deployer, list, Host, HostAction, TestRouter};
 use limits::Limits;
