Platform: test that a close behind input that is not read ahead is noticed

30 clients send 40 KiB behind a pending command at 32 MB, where there is room to read ahead for 13 of them, and close. All 30 deliveries end, and nothing more is delivered for them.

--- a/crates/spokeflow-router/tests/memory/clients.rs
+++ b/crates/spokeflow-router/tests/memory/clients.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::common::*;
@@ -191,3 +192,67 @@
         ));
     }
 }
+
+/// Starts a host that never answers. Sends an event for each request that it has read, and for each connection that the
+/// router has closed after that.
+async fn silent_host(requests: UnboundedSender<()>, closes: UnboundedSender<()>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (requests, closes) = (requests.clone(), closes.clone());
+            tokio::spawn(async move {
+                read_message(&mut stream).await?;
+                requests.send(()).ok()?;
+                while read_message(&mut stream).await.is_some() {}
+                closes.send(()).ok()
+            });
+        }
+    });
+    address
+}
+
+/// Guards against deliveries for clients that have gone: a close must be noticed also behind input that is not read ahead,
+/// since more clients send ahead than there is room for.
+#[test]
+fn a_close_behind_unread_input_is_noticed() {
+    const CLIENTS: usize = 30;
+    const SENT_AHEAD: usize = 40 << 10;
+    run(async {
+        let (request_sender, mut requests) = unbounded_channel();
+        let (close_sender, mut closes) = unbounded_channel();
+        let address = silent_host(request_sender, close_sender).await;
+        let names: Vec<String> = (0..48).map(|n| format!("s-{n}")).collect();
+        let entries: Vec<_> = names
+            .iter()
+            .map(|name| (name.as_str(), address.as_str(), "Ready", 1))
+            .collect();
+        let (controller, _) = deployer(vec![]).await;
+        let limits = Limits::new(32, 256);
+        let router = limits.start(list(1, &entries), &controller).await;
+        let mut clients = Vec::new();
+        for n in 0..CLIENTS {
+            let mut client = router.connect().await;
+            let mut bytes = read_request(&format!("first-{n}"));
+            while bytes.len() < SENT_AHEAD {
+                bytes += &read_request(&format!("ahead-{n}-{}", bytes.len()));
+            }
+            client.write_all(bytes.as_bytes()).await.unwrap();
+            clients.push(client);
+        }
+        for _ in 0..CLIENTS {
+            let request = timeout(EVENT_TIMEOUT, requests.recv()).await;
+            request.expect("each first request is delivered");
+        }
+        drop(clients);
+        for n in 0..CLIENTS {
+            let close = timeout(Duration::from_secs(2), closes.recv()).await;
+            close.unwrap_or_else(|_| panic!("{n} of {CLIENTS} deliveries ended in time"));
+        }
+        sleep(Duration::from_millis(300)).await;
+        assert!(
+            requests.try_recv().is_err(),
+            "a request was delivered for a client that has gone"
+        );
+    });
+}
