Platform: write a short message at once, and begin a long one where it stays

Cause: after the bounds, a request of 2,000 bytes was written to its host in two parts, since only 2 KiB were copied behind the `Request-Timeout` line, and a body that was announced as long was begun on the heap and then moved.

Change: up to a short message is copied on writing, within the allowance of the connection, which is unused then. A body that is announced longer than the allowance is reserved for with its first byte.

What is left is the mapping of a long message and its second write.

--- a/crates/spokeflow-platform/src/client_link.rs
+++ b/crates/spokeflow-platform/src/client_link.rs
@@ -34,9 +34,6 @@
 const READ_AHEAD_SIZE: usize = BODY_LIMIT + HEAD_LIMIT;
 /// Interval at which the system is asked whether a client has closed its connection, if its input is not read.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum length of a response's body that is copied behind its head, in bytes. A longer one is written by itself.
-const MAX_COPIED_BODY: usize = 1 << 10;
-
 /// A client's socket and decoder.
 pub(crate) struct ClientLink {
     stream: TcpStream,
@@ -154,7 +151,8 @@
     pub(crate) async fn send(&mut self, answer: &Response) -> Result<(), HttpError> {
         let mut first = BytesMut::new();
         let mut rest = Bytes::new();
-        if answer.body.len() <= MAX_COPIED_BODY {
+        // The request has been answered, so the connection's allowance for a short message is unused.
+        if answer.body.len() <= self.context.requests.short_message {
             write_response(answer, &mut first);
         } else {
             write_response_head(answer, &mut first);
--- a/crates/spokeflow-platform/src/message_buffer.rs
+++ b/crates/spokeflow-platform/src/message_buffer.rs
@@ -85,7 +85,10 @@
         let Storage::Heap(bytes) = &self.storage else {
             return 0;
         };
-        if self.prefix_limit + bytes.len() + additional <= self.short_message {
+        // A body that is announced as long is not begun on the heap, from where it would have to be moved.
+        let announced = self.announced.filter(|_| additional > 0).unwrap_or(0);
+        let length = announced.max(bytes.len() + additional);
+        if self.prefix_limit + length <= self.short_message {
             return 0;
         }
         self.prefix_limit + self.max_length()
--- a/crates/spokeflow-platform/src/upstream.rs
+++ b/crates/spokeflow-platform/src/upstream.rs
@@ -29,9 +29,6 @@
 
 /// Maximum length of the `Request-Timeout` line, in bytes.
 const TIMEOUT_LINE_SIZE: usize = 40;
-/// Maximum length of the first part of a request that is copied to insert the `Request-Timeout` line, in bytes. The rest
-/// is written from where it is held.
-const MAX_COPIED_PART: usize = 2 << 10;
 
 /// What all deliveries share.
 pub(crate) struct UpstreamConfig {
@@ -78,20 +75,32 @@
     pub(crate) recalled: oneshot::Receiver<()>,
 }
 
-/// Writes the whole request, with a `Request-Timeout` of the time left until `until`.
-async fn write_request(stream: &mut TcpStream, request: &[u8], until: Instant) -> io::Result<()> {
-    let left = until.saturating_duration_since(Instant::now());
-    let left_us = left.as_micros().max(1);
-    let line_end = request.windows(2).position(|pair| pair == b"\r\n");
-    let (first_line, after) = request.split_at(line_end.map_or(0, |at| at + 2));
-    let (copied, rest) = after.split_at(after.len().min(MAX_COPIED_PART));
-    let size = first_line.len() + TIMEOUT_LINE_SIZE + copied.len();
-    let mut first = BytesMut::with_capacity(size);
-    first.put_slice(first_line);
-    first.put_slice(format!("Request-Timeout: {left_us}u\r\n").as_bytes());
-    first.put_slice(copied);
-    stream.write_all(&first).await?;
-    stream.write_all(rest).await
+/// A request as it is to be sent.
+struct OutgoingRequest<'a> {
+    /// The request without `Request-Timeout`.
+    bytes: &'a [u8],
+    /// When the router stops waiting for the answer.
+    until: Instant,
+    /// Number of bytes that may be copied. The rest is written from where it is held.
+    max_copied: usize,
+}
+
+impl OutgoingRequest<'_> {
+    /// Writes the whole request, with a `Request-Timeout` of the time left.
+    async fn write(&self, stream: &mut TcpStream) -> io::Result<()> {
+        let left = self.until.saturating_duration_since(Instant::now());
+        let left_us = left.as_micros().max(1);
+        let line_end = self.bytes.windows(2).position(|pair| pair == b"\r\n");
+        let (first_line, after) = self.bytes.split_at(line_end.map_or(0, |at| at + 2));
+        let (copied, rest) = after.split_at(after.len().min(self.max_copied));
+        let size = first_line.len() + TIMEOUT_LINE_SIZE + copied.len();
+        let mut first = BytesMut::with_capacity(size);
+        first.put_slice(first_line);
+        first.put_slice(format!("Request-Timeout: {left_us}u\r\n").as_bytes());
+        first.put_slice(copied);
+        stream.write_all(&first).await?;
+        stream.write_all(rest).await
+    }
 }
 
 /// The reason why a request could not be sent whole. Such a request has not run.
@@ -112,8 +121,7 @@
     address: SocketAddr,
     within: Duration,
     permit: OwnedSemaphorePermit,
-    request: &[u8],
-    until: Instant,
+    request: &OutgoingRequest<'_>,
 ) -> Result<Connection, SendError> {
     let opening = timeout(within, TcpStream::connect(address)).await;
     let opened = opening.map_err(|_| SendError::ConnectTimeout(within))?;
@@ -121,7 +129,7 @@
     let _ = stream.set_nodelay(true);
     // On close, unsent bytes are discarded: a delivery that has been recalled or cancelled must not arrive later.
     let _ = stream.set_zero_linger();
-    let written = write_request(&mut stream, request, until).await;
+    let written = request.write(&mut stream).await;
     written.map_err(SendError::Broken)?;
     Ok(Connection { stream, permit })
 }
@@ -239,8 +247,12 @@
         let send_deadline = self.send_deadline;
         let address = self.address;
         let within = self.config.connect_timeout;
-        let request = &self.request;
-        let until = self.until;
+        let request = OutgoingRequest {
+            bytes: &self.request,
+            until: self.until,
+            // Until its answer arrives, the connection's allowance for a short message is unused.
+            max_copied: self.config.answers.short_message,
+        };
         let idle_us = &mut self.idle_us;
         let sending = async move {
             let permit = match route {
@@ -251,7 +263,7 @@
                     // Checked again, since this task may have waited to be scheduled: input that has arrived meanwhile
                     // belongs to no command.
                     if connection.is_reusable() {
-                        let written = write_request(&mut connection.stream, request, until).await;
+                        let written = request.write(&mut connection.stream).await;
                         if written.is_ok() {
                             return Ok(connection);
                         }
@@ -262,7 +274,7 @@
                     connection.permit
                 }
             };
-            send_on_new(address, within, permit, request, until).await
+            send_on_new(address, within, permit, &request).await
         };
         tokio::select! {
             biased;
