Platform: a client that sends at full speed lets the other tasks run

The memory stayed inside its limit.

In the router, a connection is read for as long as the runtime lets a task run, 128 reads of 2 KiB; with hundreds of clients that send at full speed one turn of all tasks takes 0.1 s and more, and a short request needs several turns (`ClientLink::read`).

Change: after 8 reads a connection yields to the other tasks.

--- a/crates/spokeflow-platform/src/client_link.rs
+++ b/crates/spokeflow-platform/src/client_link.rs
@@ -12,6 +12,7 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Decoder;
 
@@ -32,6 +33,9 @@
 const HEAD_BUFFER_SIZE: usize = HEAD_LIMIT + SMALL_SIZE;
 /// Size of a read buffer that holds the longest request, in bytes.
 const READ_AHEAD_SIZE: usize = BODY_LIMIT + HEAD_LIMIT;
+/// Number of reads after which a connection lets the other tasks run. Without it, a client that sends at full speed would
+/// be read for as long as the runtime allows a task, and with hundreds of them a short request would wait for seconds.
+const READS_PER_TURN: u32 = 8;
 /// Interval at which the system is asked whether a client has closed its connection, if its input is not read.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// A client's socket and decoder.
@@ -41,6 +45,8 @@
     codec: ServerCodec,
     /// The request that is being read.
     partial: Option<PartialRequest>,
+    /// Number of reads since the other tasks were last let run.
+    reads_in_turn: u32,
     context: Arc<ListenerContext>,
 }
 
@@ -60,6 +66,7 @@
             input: ReadBuffer::new(context.read_buffers.clone()),
             codec: ServerCodec::new(BODY_LIMIT),
             partial: None,
+            reads_in_turn: 0,
             context,
         }
     }
@@ -94,6 +101,7 @@
         if !self.input.make_space(HEAD_BUFFER_SIZE) {
             return Err(HttpError::Overloaded);
         }
+        self.end_turn_if_due().await;
         if self.stream.read_buf(&mut self.input.bytes).await? == 0 {
             // All parts that the buffer holds have been decoded, so what is left is an incomplete request.
             self.codec.decode_eof(&mut self.input.bytes)?;
@@ -103,6 +111,15 @@
         Ok(request.map_or(ReadOutcome::Part, ReadOutcome::Request))
     }
 
+    /// Lets the other tasks run once this one has read [`READS_PER_TURN`] times.
+    async fn end_turn_if_due(&mut self) {
+        if self.reads_in_turn == READS_PER_TURN {
+            self.reads_in_turn = 0;
+            yield_now().await;
+        }
+        self.reads_in_turn += 1;
+    }
+
     /// Decodes the bytes that have been read, up to the end of a request.
     fn decode(&mut self) -> Result<Option<ClientRequest>, HttpError> {
         let schema = &self.context.schema;
