--- a/crates/spokeflow-platform/src/client_link.rs
+++ b/crates/spokeflow-platform/src/client_link.rs
@@ -33,8 +33,8 @@
 const HEAD_BUFFER_SIZE: usize = HEAD_LIMIT + SMALL_SIZE;
 /// Size of a read buffer that holds the longest request, in bytes.
 const READ_AHEAD_SIZE: usize = BODY_LIMIT + HEAD_LIMIT;
-/// Number of reads after which a connection lets the other tasks run. Without it, a client that sends at full speed would
-/// be read for as long as the runtime allows a task, and with hundreds of them a short request would wait for seconds.
+/// Number of reads after which a connection lets the other tasks run, so that clients that send at full speed do not hold
+/// back the others.
 const READS_PER_TURN: u32 = 8;
 /// Interval at which the system is asked whether a client has closed its connection, if its input is not read.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
