--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review. `cases CASE ROOT FOLDER RECORD` plays one; with `TROUBLE=0` without its disruption.
 //! Exit code 0: the rule held; 1: it was broken; 2: the case could not run.
 
+mod copied_id;
 mod empty_lines;
 #[allow(dead_code)]
 mod rig;
@@ -20,6 +21,7 @@
     };
     let broken = match case.as_str() {
         "empty-lines" => empty_lines::play(&place, trouble),
+        "copied-id" => copied_id::play(&place, trouble),
         _ => rig::cannot_run("unknown case"),
     };
     std::process::exit(i32::from(broken));
