--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -5,6 +5,7 @@
 mod empty_lines;
 #[allow(dead_code)]
 mod rig;
+mod short_length;
 
 use std::path::PathBuf;
 
@@ -21,6 +22,7 @@
     };
     let broken = match case.as_str() {
         "empty-lines" => empty_lines::play(&place, trouble),
+        "short-length" => short_length::play(&place, trouble),
         "copied-id" => copied_id::play(&place, trouble),
         _ => rig::cannot_run("unknown case"),
     };
