--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 //! Exit code 0: the rule held; 1: it was broken; 2: the case could not run.
 
 mod copied_id;
+mod cut_request;
 mod empty_lines;
 #[allow(dead_code)]
 mod rig;
@@ -23,6 +24,7 @@
     let broken = match case.as_str() {
         "empty-lines" => empty_lines::play(&place, trouble),
         "short-length" => short_length::play(&place, trouble),
+        "cut-request" => cut_request::play(&place, trouble),
         "copied-id" => copied_id::play(&place, trouble),
         _ => rig::cannot_run("unknown case"),
     };
