Platform: an answer with bytes behind it that begin no other answer is a failed delivery

Cause: DeliveryTask::answer used the bytes behind an answer only to decide whether its connection may be used again, and saw only what one read brought; Body::take read any line behind the last chunk as a trailer field. Ruled out: the codec's count of the body (bodies were as long as told) and the frames of the other front (decode_body checks both lengths against each other).

What follows an answer is now looked at before it is passed on: the rest of the read, what the system holds, and for a good answer what comes within 5 ms or a quarter of the time left. Another answer (version and status) is left alone and closes the connection as before. Anything else is a delivery that may have run, also behind a 503 with Not-Started.

Red before: an_answer_with_a_wrong_length_is_a_failed_delivery ("6 bytes less": left "certificate 4711 of tr").

--- a/crates/spokeflow-http/src/body.rs
+++ b/crates/spokeflow-http/src/body.rs
@@ -111,6 +111,10 @@
                         *self = Body::Length(0);
                     } else if *received > HEAD_LIMIT {
                         return Err(HttpError::HeadTooLong);
+                    } else if !is_field_line(&line) {
+                        return Err(HttpError::InvalidLength(
+                            "bytes that are no field line follow the last chunk",
+                        ));
                     }
                 }
             }
@@ -144,6 +148,14 @@
     is_hexadecimal.then_some(size)
 }
 
+/// Whether a line of a trailer is a field: a name, a colon and a value (RFC 9112, 5).
+fn is_field_line(line: &[u8]) -> bool {
+    let mut parsed = [httparse::EMPTY_HEADER];
+    let line = [line, b"\r\n\r\n"].concat();
+    let end = httparse::parse_headers(&line, &mut parsed);
+    end.is_ok_and(|end| end.is_complete())
+}
+
 /// Takes up to `left` bytes out of the buffer and subtracts them from `left`; `None` if there are none.
 fn take_data(buffer: &mut BytesMut, left: &mut u64) -> Option<Piece> {
     let length = (*left).min(buffer.len() as u64);
--- a/crates/spokeflow-http/src/lib.rs
+++ b/crates/spokeflow-http/src/lib.rs
@@ -13,4 +13,7 @@
 pub use error::HttpError;
 pub use head::{Fields, HEAD_LIMIT};
 pub use request::{RequestHead, RequestPart, ServerCodec};
-pub use response::{write_response, write_response_head, Response, ResponseCodec, ResponsePart};
+pub use response::{
+    begins_response, write_response, write_response_head, Response, ResponseCodec, ResponsePart,
+    RESPONSE_START_SIZE,
+};
--- a/crates/spokeflow-http/src/response.rs
+++ b/crates/spokeflow-http/src/response.rs
@@ -7,6 +7,8 @@
 use crate::head::{HeadReader, MAX_FIELDS};
 use crate::{Fields, HttpError};
 
+/// Number of bytes from which [`begins_response`] tells a response: version and status.
+pub const RESPONSE_START_SIZE: usize = b"HTTP/1.1 200".len();
 const MALFORMED_HEAD: HttpError = HttpError::Unreadable("malformed response head");
 
 /// A part of a response, in the order in which the parts are read.
@@ -138,6 +140,17 @@
     }
 }
 
+/// Whether these bytes begin with the version and the status of a response. Fewer than [`RESPONSE_START_SIZE`] bytes do
+/// not.
+pub fn begins_response(bytes: &[u8]) -> bool {
+    let Some((start, _)) = bytes.split_at_checked(RESPONSE_START_SIZE) else {
+        return false;
+    };
+    let (version, status) = start.split_at(b"HTTP/1.1 ".len());
+    let is_version = matches!(version, b"HTTP/1.1 " | b"HTTP/1.0 ");
+    is_version && matches!(status[0], b'1'..=b'5') && status.iter().all(u8::is_ascii_digit)
+}
+
 struct ResponseHead {
     status: u16,
     fields: Fields,
--- a/crates/spokeflow-http/tests/codecs.rs
+++ b/crates/spokeflow-http/tests/codecs.rs
@@ -4,8 +4,8 @@
 use bytes::{Bytes, BytesMut};
 use proptest::prelude::*;
 use spokeflow_http::{
-    write_response, HttpError, RequestHead, RequestPart, Response, ResponseCodec, ResponsePart,
-    ServerCodec,
+    begins_response, write_response, HttpError, RequestHead, RequestPart, Response, ResponseCodec,
+    ResponsePart, ServerCodec,
 };
 use tokio_util::codec::Decoder;
 
@@ -215,6 +215,44 @@
     }
 }
 
+/// Guards against the rest of a body that is taken for a trailer when a chunk is announced as the last one too early.
+#[test]
+fn a_trailer_line_that_is_no_field_is_an_error() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+    for trailer in [
+        "rest\r\n\r\n",
+        "{\"a\":1}\r\n\r\n",
+        "a: b\r\nrest\r\n\r\n",
+        " : x\r\n\r\n",
+    ] {
+        let bytes = format!("{head}{trailer}");
+        let (parts, end) = decode_all(ResponseCodec::new(64), bytes.as_bytes(), &[]);
+        assert!(!parts.contains(&ResponsePart::End), "{trailer:?}");
+        assert!(end.contains("last chunk"), "{trailer:?}: {end}");
+    }
+    let bytes = format!("{head}a: b\r\nC-d:\r\n\r\n");
+    let (parts, end) = decode_all(ResponseCodec::new(64), bytes.as_bytes(), &[]);
+    assert_eq!((parts.last(), end.as_str()), (Some(&ResponsePart::End), ""));
+}
+
+#[test]
+fn a_response_is_told_by_its_version_and_status() {
+    for bytes in ["HTTP/1.1 200 OK\r\n", "HTTP/1.0 503", "HTTP/1.1 100 C"] {
+        assert!(begins_response(bytes.as_bytes()), "{bytes:?}");
+    }
+    for bytes in [
+        "",
+        "H",
+        "HTTP/1.1 20",
+        "HTTP/2.0 200",
+        "HTTP/1.1 2x0",
+        "HTTP/1.1 900",
+        " HTTP/1.1 200",
+    ] {
+        assert!(!begins_response(bytes.as_bytes()), "{bytes:?}");
+    }
+}
+
 proptest! {
     #[test]
     fn any_split_of_the_bytes_gives_the_same_requests(cuts in prop::collection::vec(0usize..400, 0..8)) {
--- a/crates/spokeflow-platform/src/host_answer.rs
+++ b/crates/spokeflow-platform/src/host_answer.rs
@@ -2,20 +2,26 @@
 
 use std::time::Duration;
 
-use spokeflow_http::{HttpError, ResponseCodec, ResponsePart, HEAD_LIMIT};
+use spokeflow_http::{
+    begins_response, HttpError, ResponseCodec, ResponsePart, HEAD_LIMIT, RESPONSE_START_SIZE,
+};
 use spokeflow_proto::FromHost;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 use tokio_util::codec::Decoder;
 
 use crate::limits::BODY_LIMIT;
 use crate::memory_pool::MemoryPool;
 use crate::message_buffer::{MessageBuffer, MessageMemory};
 use crate::read_buffer::{ReadBuffer, SMALL_SIZE};
+use crate::unread::read_unread;
 
 /// Size of a read buffer that holds the longest head or trailer, in bytes.
 const HEAD_BUFFER_SIZE: usize = HEAD_LIMIT + SMALL_SIZE;
+/// Maximum time for which a good answer is held back to see whether more follows it. What a host sends behind an answer
+/// comes some milliseconds late on the platform.
+const MAX_SETTLE_TIME: Duration = Duration::from_millis(5);
 
 /// An answer that was received whole.
 pub(crate) struct HostAnswer {
@@ -24,8 +30,18 @@
     not_started: bool,
     /// The body of a good answer; that of any other is dropped.
     body: Option<MessageBuffer>,
-    /// Whether the host keeps the connection open after the answer.
-    pub(crate) keep_alive: bool,
+    /// Whether the connection may carry another delivery: the host keeps it open, and nothing follows the answer.
+    pub(crate) is_reusable: bool,
+}
+
+/// What a connection carries behind an answer.
+#[derive(Debug, PartialEq, Eq)]
+enum Following {
+    Nothing,
+    /// Another answer, which belongs to no command.
+    Answer,
+    /// Bytes that begin no answer. They may be the rest of a body whose length was announced too small.
+    Unidentified,
 }
 
 impl HostAnswer {
@@ -51,13 +67,17 @@
     partial: Option<HostAnswer>,
     /// Timeout of each read after the answer's first byte.
     read_timeout: Duration,
+    /// When the router stops waiting for the answer.
+    until: Instant,
 }
 
 impl<'a> AnswerReader<'a> {
+    /// `until`: when the router stops waiting for the answer.
     pub(crate) fn new(
         memory: &'a MessageMemory,
         read_buffers: &MemoryPool,
         read_timeout: Duration,
+        until: Instant,
     ) -> Self {
         AnswerReader {
             input: ReadBuffer::new(read_buffers.clone()),
@@ -65,16 +85,54 @@
             memory,
             partial: None,
             read_timeout,
+            until,
         }
     }
 
-    /// Returns the number of bytes that were read behind the answer.
-    pub(crate) fn excess(&self) -> usize {
-        self.input.bytes.len()
-    }
-
     /// Reads the answer whole. While there is no room for a long body, nothing is read.
+    ///
+    /// # Errors
+    ///
+    /// The answer cannot be read, or what follows it shows that its announced length may not be that of its body.
     pub(crate) async fn read(&mut self, stream: &mut TcpStream) -> Result<HostAnswer, HttpError> {
+        let mut answer = self.read_announced(stream).await?;
+        if self.input.bytes.is_empty() && answer.body.is_some() {
+            self.await_following(stream).await;
+        }
+        match self.following(stream) {
+            Following::Nothing => {}
+            Following::Answer => answer.is_reusable = false,
+            Following::Unidentified => {
+                return Err(HttpError::InvalidLength(
+                    "bytes follow the answer that begin no other answer",
+                ))
+            }
+        }
+        Ok(answer)
+    }
+
+    /// Waits until something follows the answer, for at most [`MAX_SETTLE_TIME`] and a quarter of the time left.
+    async fn await_following(&self, stream: &TcpStream) {
+        let left = self.until.saturating_duration_since(Instant::now());
+        let settle_time = MAX_SETTLE_TIME.min(left / 4);
+        let _ = timeout(settle_time, stream.peek(&mut [0])).await;
+    }
+
+    /// Returns what follows the answer, as far as the operating system has received it.
+    fn following(&mut self, stream: &TcpStream) -> Following {
+        let mut start = [0; RESPONSE_START_SIZE];
+        let buffered = self.input.bytes.len().min(start.len());
+        start[..buffered].copy_from_slice(&self.input.bytes[..buffered]);
+        let length = buffered + read_unread(stream, &mut start[buffered..]);
+        match &start[..length] {
+            [] => Following::Nothing,
+            bytes if begins_response(bytes) => Following::Answer,
+            _ => Following::Unidentified,
+        }
+    }
+
+    /// Reads the answer up to its announced end.
+    async fn read_announced(&mut self, stream: &mut TcpStream) -> Result<HostAnswer, HttpError> {
         loop {
             while let Some(part) = self.codec.decode(&mut self.input.bytes)? {
                 if let Some(answer) = self.take(part).await? {
@@ -104,7 +162,7 @@
                     status,
                     not_started: not_started.is_some_and(|value| value.as_ref() == b"1"),
                     body: Some(body).filter(|_| status == 200),
-                    keep_alive: !fields.has_token("connection", "close"),
+                    is_reusable: !fields.has_token("connection", "close"),
                 });
             }
             ResponsePart::Data(data) => {
@@ -138,7 +196,7 @@
         let answer = self.partial.take();
         let answer = answer.filter(|_| end == Some(ResponsePart::End));
         let mut answer = answer.ok_or(HttpError::Truncated)?;
-        answer.keep_alive = false;
+        answer.is_reusable = false;
         Ok(answer)
     }
 }
@@ -159,3 +217,7 @@
     body.move_to(reservation)?;
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/host_answer.rs"]
+mod tests;
--- a/crates/spokeflow-platform/src/unread.rs
+++ b/crates/spokeflow-platform/src/unread.rs
@@ -1,5 +1,6 @@
-//! Asks the operating system whether a connection has unread input.
+//! Asks the operating system for the unread input of a connection.
 
+use std::io::Read;
 use std::mem::MaybeUninit;
 
 use socket2::SockRef;
@@ -26,6 +27,20 @@
     }
 }
 
+/// Fills `buffer` with the unread input of `stream` as far as the operating system has received it, without waiting.
+/// Returns the number of bytes read. The end of the connection and its errors count as no input.
+pub(crate) fn read_unread(stream: &TcpStream, buffer: &mut [u8]) -> usize {
+    let socket = SockRef::from(stream);
+    let mut length = 0;
+    while length < buffer.len() {
+        match (&*socket).read(&mut buffer[length..]) {
+            Ok(read) if read > 0 => length += read,
+            _ => break,
+        }
+    }
+    length
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/unread.rs"]
 mod tests;
--- a/crates/spokeflow-platform/src/upstream.rs
+++ b/crates/spokeflow-platform/src/upstream.rs
@@ -293,20 +293,14 @@
     async fn answer(&self, mut connection: Connection) -> DeliveryEnd {
         let config = &self.config;
         let timeout = config.connect_timeout;
-        let mut reader = AnswerReader::new(&config.answers, &config.read_buffers, timeout);
+        let buffers = &config.read_buffers;
+        let mut reader = AnswerReader::new(&config.answers, buffers, timeout, self.until);
         match reader.read(&mut connection.stream).await {
             Ok(answer) => {
-                // Bytes after the answer belong to no command, and more may follow, so the connection is closed.
-                let bytes = reader.excess();
-                let reusable = answer.keep_alive && bytes == 0;
-                if bytes > 0 {
-                    let address = self.address;
-                    let delivery = self.delivery;
-                    debug!(host = self.host.0, %address, delivery, bytes, "bytes after the answer: connection closed");
-                }
+                let is_reusable = answer.is_reusable;
                 DeliveryEnd {
                     outcome: Outcome::Message(answer.into_message(self.delivery)),
-                    connection: Some(connection).filter(|_| reusable),
+                    connection: Some(connection).filter(|_| is_reusable),
                 }
             }
             Err(HttpError::Io(_) | HttpError::Truncated) => {
--- a/crates/spokeflow-router/tests/platform/main.rs
+++ b/crates/spokeflow-router/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod control;
 mod hosts;
+mod wrong_lengths;
 
 use common::{deployer, list, Host, TestRouter};
 
