Platform: a client that sends more than is read ahead is refused

Callers saw requests sent on after their client had closed: with 2,000 small ones at once and a close of the sending side, 1,018 of 1,032 began over 0.1 s after it, the last after 20 s (played at 32 MB, 256 descriptors and 192 MB, 1,024).

Cause: ClientLink::wait_for_close read up to 72 KiB ahead and then asked whether the client had closed. With more unread than the system's buffer holds, the close is still with the client's system. Ruled out: the engine, which ends a command at once, and the queue of events.

Such a client is answered 400 and closed at once and its command ends; the engine learns of it before the refusal is written.

Red before: nothing_is_sent_after_a_close_behind_many_requests (22 sent, 4 at the close), a_client_that_sends_too_much_ahead_is_refused_at_once (nothing within 3 s).

--- a/crates/spokeflow-http/src/error.rs
+++ b/crates/spokeflow-http/src/error.rs
@@ -32,6 +32,9 @@
     /// The connection is closed within a message, because its place is needed for another connection.
     #[error("HTTP message not received whole before the connection had to make room for another")]
     Overloaded,
+    /// The peer has sent more behind a request than is read ahead of its answer.
+    #[error("more sent ahead of an answer than there is room for")]
+    TooMuchAhead,
     /// The connection failed.
     #[error(transparent)]
     Io(#[from] io::Error),
@@ -42,6 +45,8 @@
     pub fn status(&self) -> Option<u16> {
         match self {
             HttpError::HeadTooLong => Some(431),
+            // The request may have run, so the status must not say that a retry is harmless.
+            HttpError::TooMuchAhead => Some(400),
             HttpError::Unreadable(_) | HttpError::InvalidLength(_) => Some(400),
             HttpError::BodyTooLong { .. } => Some(413),
             HttpError::Overloaded => Some(503),
--- a/crates/spokeflow-platform/src/client_connection.rs
+++ b/crates/spokeflow-platform/src/client_connection.rs
@@ -32,13 +32,15 @@
         let _ = stream.set_nodelay(true);
         let mut link = ClientLink::new(stream, self.context.clone());
         let mut is_known = false;
-        if let Err(error) = self.serve(&mut link, &mut is_known).await {
-            self.refuse(&mut link, error).await;
-        }
+        let served = self.serve(&mut link, &mut is_known).await;
+        // Before a refusal, which takes time: nothing more may be sent for this client.
         if is_known {
             let event = EngineEvent::ClientDisconnected(self.connection);
             let _ = self.context.events.send(event).await;
         }
+        if let Err(error) = served {
+            self.refuse(&mut link, error).await;
+        }
     }
 
     /// Logs the error and answers the client with its status, if the client may still read it.
@@ -129,7 +131,7 @@
                     self.state.set(Activity::Serving, &self.context.clock);
                     commands += 1;
                     command.id = commands;
-                    match self.execute(link, id, command).await {
+                    match self.execute(link, id, command).await? {
                         Some(answer) => answer,
                         None => return Ok(()),
                     }
@@ -172,15 +174,15 @@
     }
 
     /// Hands a command to the engine's task and waits for the answer; `None` if the client has closed the connection or
-    /// the engine's task has ended.
+    /// the engine's task has ended. A client that sends too much ahead of the answer is an error.
     async fn execute(
         &self,
         link: &mut ClientLink,
         id: Bytes,
         command: Command,
-    ) -> Option<Response> {
+    ) -> Result<Option<Response>, HttpError> {
         if link.is_closed_by_client() {
-            return None;
+            return Ok(None);
         }
         let (answer, mut answer_receiver) = oneshot::channel();
         let event = EngineEvent::Command {
@@ -189,20 +191,22 @@
             command,
             answer,
         };
-        self.context.events.send(event).await.ok()?;
+        if self.context.events.send(event).await.is_err() {
+            return Ok(None);
+        }
         let message = tokio::select! {
             biased;
             message = &mut answer_receiver => message,
             // A client that closes the connection does not wait for the answer.
-            _ = link.wait_for_close() => return None,
+            closed = link.wait_for_close() => return closed.map(|()| None),
         };
-        Some(match message {
+        Ok(Some(match message {
             Ok(message) => to_answer(message),
             Err(_) => Response {
                 status: 500,
                 ..Response::default()
             },
-        })
+        }))
     }
 }
 
--- a/crates/spokeflow-platform/src/client_link.rs
+++ b/crates/spokeflow-platform/src/client_link.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tokio_util::codec::Decoder;
 
 use crate::client_request::{ClientRequest, PartialRequest};
@@ -31,13 +31,12 @@
 const LINGER_LIMIT: usize = 128 << 10;
 /// Size of a read buffer that holds the longest head or trailer, in bytes.
 const HEAD_BUFFER_SIZE: usize = HEAD_LIMIT + SMALL_SIZE;
-/// Size of a read buffer that holds the longest request, in bytes.
+/// Size of a read buffer that holds the longest request, in bytes. No more is read ahead of an answer.
 const READ_AHEAD_SIZE: usize = BODY_LIMIT + HEAD_LIMIT;
 /// Number of reads after which a connection lets the other tasks run, so that clients that send at full speed do not hold
 /// back the others.
 const READS_PER_TURN: u32 = 8;
-/// Interval at which the system is asked whether a client has closed its connection, if its input is not read.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A client's socket and decoder.
 pub(crate) struct ClientLink {
     stream: TcpStream,
@@ -140,17 +139,23 @@
         Ok(None)
     }
 
-    /// Returns once the client has closed the connection. What it sends meanwhile is kept and decoded after the answer.
-    /// If there is no room for it, it is left to the system, which tells of a close behind it.
-    pub(crate) async fn wait_for_close(&mut self) {
+    /// Returns once the client has closed the connection, with `Ok`. What it sends meanwhile is kept and decoded after the
+    /// answer.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::TooMuchAhead`]: the client has sent more than there is room for. A close behind input that is not read
+    /// may still be with the client's system, so such a client cannot be served any further.
+    pub(crate) async fn wait_for_close(&mut self) -> Result<(), HttpError> {
         while self.input.make_space(READ_AHEAD_SIZE) {
             let read = self.stream.read_buf(&mut self.input.bytes).await;
-            if !matches!(read, Ok(bytes) if bytes > 0) {
-                return;
+            if !matches!(read, Ok(1..)) {
+                return Ok(());
             }
         }
-        while !self.is_closed_by_client() {
-            sleep(CLOSE_CHECK_INTERVAL).await;
+        match self.stream.peek(&mut [0]).await {
+            Ok(1..) => Err(HttpError::TooMuchAhead),
+            Ok(0) | Err(_) => Ok(()),
         }
     }
 
--- a/crates/spokeflow-router/tests/crossings/main.rs
+++ b/crates/spokeflow-router/tests/crossings/main.rs
@@ -8,6 +8,7 @@
 mod held;
 mod hosts;
 mod late_connections;
+mod left_clients;
 mod reload;
 mod shutdown;
 mod watch;
