Platform: a connection that is closing is not chosen to make room

Cause: free_capacity asked the same connection again and again, since one that is being refused (0.1 s and more) counted as New, the first to be chosen; and a client whose input is always ready kept ClientConnection::wait from its other branches (biased, the read first), so it heard neither the request to close nor its deadline. Ruled out: the accept rate (300 silent clients alone lose nothing).

Such a connection is Closing and not chosen again; an eighth of the places may be closing at a time. The request to close is looked at before the input, the deadline after each read.

Red before: refused_connections_do_not_keep_new_clients_waiting (40 of 40 late), a_client_that_sends_only_empty_lines_is_closed_in_time (no error, no close).

--- a/crates/spokeflow-platform/src/acceptor.rs
+++ b/crates/spokeflow-platform/src/acceptor.rs
@@ -19,6 +19,9 @@
 const BACKLOG: u32 = 1024;
 /// Delay after a failed accept. The process is most likely out of descriptors, and an immediate retry would fail again.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Part of the connections that may be closing at a time to make room. Refusing a client takes up to 0.2 s, and the next
+/// one must not wait for that.
+const CLOSING_SHARE: usize = 8;
 /// Delay after a connection was requested to close: its task has to be scheduled first.
 const CLOSE_REQUEST_DELAY: Duration = Duration::from_millis(1);
 
@@ -62,22 +65,26 @@
         while states.len() >= self.max_connections {
             states.retain(|state| Arc::strong_count(state) > 1);
             if states.len() >= self.max_connections {
-                request_close(states);
+                self.request_close(states);
                 sleep(CLOSE_REQUEST_DELAY).await;
             }
         }
     }
-}
 
-/// Requests one connection to close, the one of lowest [`ConnectionState::close_priority`]. That is the oldest of those
-/// that have sent nothing since they were accepted, or else the one idle longest, or else the one that has been sending
-/// an incomplete request longest.
-fn request_close(states: &[Arc<ConnectionState>]) {
-    let closable = states
-        .iter()
-        .filter_map(|state| Some((state.close_priority()?, state)));
-    if let Some((_, state)) = closable.min_by_key(|(priority, _)| *priority) {
-        state.close_requested.notify_one();
+    /// Requests one connection to close, unless enough are closing: the one of lowest
+    /// [`ConnectionState::close_priority`]. That is the oldest of those that have sent nothing since they were accepted,
+    /// or else the one idle longest, or else the one that has been sending an incomplete request longest.
+    fn request_close(&self, states: &[Arc<ConnectionState>]) {
+        let closing = states.iter().filter(|state| state.is_closing()).count();
+        if closing > self.max_connections / CLOSING_SHARE {
+            return;
+        }
+        let closable = states
+            .iter()
+            .filter_map(|state| Some((state.close_priority()?, state)));
+        if let Some((_, state)) = closable.min_by_key(|(priority, _)| *priority) {
+            state.request_close(&self.context.clock);
+        }
     }
 }
 
--- a/crates/spokeflow-platform/src/client_connection.rs
+++ b/crates/spokeflow-platform/src/client_connection.rs
@@ -52,7 +52,7 @@
         let Some(status) = error.status() else {
             return;
         };
-        self.state.set(Activity::New, &self.context.clock);
+        self.state.set(Activity::Closing, &self.context.clock);
         let refusal = Response {
             status,
             close: true,
@@ -85,7 +85,11 @@
                 return Ok(None);
             }
             // A request arrived while the connection was about to be closed, and the runtime does not know of it yet.
+            if wait.has_begun {
+                return Err(HttpError::Unreadable("no request received in time"));
+            }
             wait.begin_instead_of_closing();
+            self.state.set(Activity::Receiving, &self.context.clock);
         }
     }
 
@@ -94,24 +98,23 @@
         let mut closing = self.context.closing.clone();
         tokio::select! {
             biased;
-            read = link.read() => Ok(match read? {
-                ReadOutcome::Request(request) => Wake::Request(request),
-                ReadOutcome::Part => Wake::Continue,
-                ReadOutcome::End => Wake::Disconnected,
-            }),
+            // First: the input of a client may never end.
             _ = self.state.close_requested.notified() => {
                 if link.has_begun() {
                     return Err(HttpError::Overloaded);
                 }
                 Ok(Wake::Close)
             }
+            read = link.read() => Ok(match read? {
+                ReadOutcome::Request(request) => Wake::Request(request),
+                ReadOutcome::Part if wait.is_over() => wait.close_or_refuse(link.has_begun())?,
+                ReadOutcome::Part => Wake::Continue,
+                ReadOutcome::End => Wake::Disconnected,
+            }),
             _ = async { closing.wait_for(|closing| *closing).await.is_ok() },
                 if !wait.has_begun && !wait.has_seen_closing => Ok(wait.on_closing()),
             _ = sleep_until(wait.until) => {
-                if link.has_begun() {
-                    return Err(HttpError::Unreadable("request not received whole in time"));
-                }
-                Ok(Wake::Close)
+                wait.close_or_refuse(link.has_begun())
             }
         }
     }
--- a/crates/spokeflow-platform/src/connection_state.rs
+++ b/crates/spokeflow-platform/src/connection_state.rs
@@ -7,8 +7,8 @@
 use tokio::sync::Notify;
 
 /// What a connection is doing. Connections are closed in the order of the variants when a new one needs their place;
-/// one that is `Serving` is never closed for that.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// one that is `Serving` or `Closing` is never closed for that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
 pub(crate) enum Activity {
     /// It has sent nothing since it was accepted.
@@ -19,6 +19,9 @@
     Receiving,
     /// It has a pending command.
     Serving,
+    /// It has been requested to close, or its client is being refused. That takes time, since the client has to read the
+    /// refusal.
+    Closing,
 }
 
 /// State that the acceptor shares with the task of one connection.
@@ -44,10 +47,22 @@
         self.since.store(clock.now(), Ordering::Relaxed);
     }
 
-    /// Returns the key by which connections are chosen for closing, lowest first; `None` while a command is pending.
+    /// Returns the key by which connections are chosen for closing, lowest first; `None` while a command is pending, and
+    /// once the connection is closing.
     pub(crate) fn close_priority(&self) -> Option<(u8, Micros)> {
         let activity = self.activity.load(Ordering::Relaxed);
         let since = self.since.load(Ordering::Relaxed);
-        (activity != Activity::Serving as u8).then_some((activity, since))
+        (activity < Activity::Serving as u8).then_some((activity, since))
+    }
+
+    /// Whether the connection is closing.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.activity.load(Ordering::Relaxed) == Activity::Closing as u8
+    }
+
+    /// Requests the task to close the connection.
+    pub(crate) fn request_close(&self, clock: &Clock) {
+        self.set(Activity::Closing, clock);
+        self.close_requested.notify_one();
     }
 }
--- a/crates/spokeflow-platform/src/request_wait.rs
+++ b/crates/spokeflow-platform/src/request_wait.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use crate::client_request::ClientRequest;
+use spokeflow_http::HttpError;
 use tokio::time::Instant;
 
+use crate::client_request::ClientRequest;
 use crate::connection_state::Activity;
 
 /// Time for the first request on a connection to arrive whole, and for a later one once a part of it has arrived; after
@@ -78,6 +79,23 @@
         };
     }
 
+    /// Whether the deadline is over.
+    pub(crate) fn is_over(&self) -> bool {
+        Instant::now() >= self.until
+    }
+
+    /// Ends the wait at its deadline. `has_part`: whether a part of the request has been read.
+    ///
+    /// # Errors
+    ///
+    /// The request has not been received whole.
+    pub(crate) fn close_or_refuse(&self, has_part: bool) -> Result<Wake, HttpError> {
+        if has_part {
+            return Err(HttpError::Unreadable("request not received whole in time"));
+        }
+        Ok(Wake::Close)
+    }
+
     /// Notes that a part of the request arrived when the connection was to be closed.
     pub(crate) fn begin_instead_of_closing(&mut self) {
         self.has_begun = true;
--- a/crates/spokeflow-router/tests/platform/main.rs
+++ b/crates/spokeflow-router/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod hosts;
 mod request_ids;
+mod room_for_clients;
 mod wrong_lengths;
 
 use common::{deployer, list, Host, TestRouter};
