Keys that are assigned to builds have a bound that follows from the told memory

Operators saw memory grow without end under ever new names. Played at 32 MB and 256 descriptors with a build on trial and 3,200 new keys a second: 8.7 MB after 10 s, 10.1 after 30, 12.6 after 60; without a trial 8.6 after 30.

Cause: StickyTable drops only assignments that forward-only rules do not need, and nothing bounded the others. Ruled out: request ids and the engine's tables.

The platform tells the module how many keys there is room for (1/32 of the told memory). A key without room goes to the released build; to one on trial only where no other serves, and then all keys without an assignment count as answered by it.

Tests: the_keys_of_a_long_trial_are_bounded (beside a run without a bound, more than twice the keys), keys_without_room_do_not_go_back_from_the_only_build.

--- a/crates/spokeflow-core/src/router/canary.rs
+++ b/crates/spokeflow-core/src/router/canary.rs
@@ -94,7 +94,7 @@
         if self.rollout.is_rolled_back(new) || tried_trial() {
             return stable_first;
         }
-        if self.goes_to_trial(command, new, old) {
+        if self.sticky.has_room_for(command.key) && self.goes_to_trial(command, new, old) {
             BuildChoice {
                 first: trial,
                 second: stable,
--- a/crates/spokeflow-core/src/router/placement.rs
+++ b/crates/spokeflow-core/src/router/placement.rs
@@ -277,11 +277,14 @@
         command
             .deliveries
             .push(Delivery::new(host, build, self.now));
-        self.sticky.entry(command.key).add_open_delivery(build);
+        let key = command.key;
+        let operation = command.operation;
+        let tenant = command.tenant;
+        self.claim_key(key, build);
         self.hosts.add_in_flight(host);
-        self.operations[command.operation].in_flight += 1;
+        self.operations[operation].in_flight += 1;
         self.hosts.count_sent(host, age_interval);
-        self.waiting.count_served(command.tenant);
+        self.waiting.count_served(tenant);
         out.deliver(id, self.hosts.endpoint(host).host, None);
     }
 }
--- a/crates/spokeflow-core/src/router/retry.rs
+++ b/crates/spokeflow-core/src/router/retry.rs
@@ -141,10 +141,13 @@
             && !self.rollout.is_rolled_back(newest)
             && outcome.may_have_run()
             && outcome != AttemptOutcome::Error;
-        let assignment = self.sticky.entry(key);
-        assignment.remove_open_delivery(delivery.build);
-        if binds {
-            assignment.answered_by = assignment.answered_by.max(Some(newest));
+        if let Some(assignment) = self.sticky.entry(key) {
+            assignment.remove_open_delivery(delivery.build);
+            if binds {
+                assignment.answered_by = assignment.answered_by.max(Some(newest));
+            }
+        } else if binds && self.binds_keys(newest) {
+            self.sticky.raise_default_floor(newest);
         }
     }
 
--- a/crates/spokeflow-core/src/router/sticky.rs
+++ b/crates/spokeflow-core/src/router/sticky.rs
@@ -11,11 +11,24 @@
 pub(super) const STICKY_IDLE_TIMEOUT: Micros = 10 * SECOND;
 
 /// The assignments of recently used keys.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct StickyTable {
     by_key: BTreeMap<Key, StickyAssignment>,
-    /// The newest build that has answered any key whose assignment was dropped.
+    /// The newest build that has answered any key without an assignment: it was dropped, or there
+    /// was no room for it.
     default_floor: Option<BuildId>,
+    /// Maximum number of assignments.
+    max_keys: usize,
+}
+
+impl Default for StickyTable {
+    fn default() -> Self {
+        StickyTable {
+            by_key: BTreeMap::new(),
+            default_floor: None,
+            max_keys: usize::MAX,
+        }
+    }
 }
 
 impl StickyTable {
@@ -23,8 +36,22 @@
         self.by_key.get(&key)
     }
 
-    pub(super) fn entry(&mut self, key: Key) -> &mut StickyAssignment {
-        self.by_key.entry(key).or_default()
+    /// Returns the assignment of a key, a new one if it has none; `None` if there is no room for it.
+    pub(super) fn entry(&mut self, key: Key) -> Option<&mut StickyAssignment> {
+        if !self.has_room_for(key) {
+            return None;
+        }
+        Some(self.by_key.entry(key).or_default())
+    }
+
+    /// Whether a key has an assignment or can be given one.
+    pub(super) fn has_room_for(&self, key: Key) -> bool {
+        self.by_key.len() < self.max_keys || self.by_key.contains_key(&key)
+    }
+
+    /// Counts all keys without an assignment as answered by this build or a later one.
+    pub(super) fn raise_default_floor(&mut self, build: BuildId) {
+        self.default_floor = self.default_floor.max(Some(build));
     }
 
     /// Forgets the answers of a build that is rolled back, and the assignments to it unless another
@@ -58,6 +85,18 @@
 }
 
 impl Router {
+    /// Sets the maximum number of keys whose assignments are kept; without a call there is none.
+    /// While there is no room for a key, its commands go to the build on trial only if no other
+    /// serves, and all such keys then count as answered by it.
+    pub fn set_max_sticky_keys(&mut self, max_keys: usize) {
+        self.sticky.max_keys = max_keys;
+    }
+
+    /// Returns the number of keys whose assignments are kept.
+    pub fn sticky_keys(&self) -> usize {
+        self.sticky.by_key.len()
+    }
+
     /// Whether forward-only rules bind keys to a build: the newest that the release controller has
     /// named, or a later one, unless it is rolled back.
     pub(super) fn binds_keys(&self, build: BuildId) -> bool {
@@ -95,13 +134,24 @@
         let stays = self.sticky.get(key).is_some_and(|assignment| {
             build < assignment.build && self.is_on_trial(assignment.build)
         });
-        let assignment = self.sticky.entry(key);
+        let Some(assignment) = self.sticky.entry(key) else {
+            return;
+        };
         if !stays {
             assignment.build = build;
         }
         assignment.used_at = self.now;
     }
 
+    /// Notes that a delivery of a key goes to a build.
+    pub(super) fn claim_key(&mut self, key: Key, build: BuildId) {
+        if let Some(assignment) = self.sticky.entry(key) {
+            assignment.add_open_delivery(build);
+        } else if key.0 != 0 && self.binds_keys(build) {
+            self.sticky.raise_default_floor(build);
+        }
+    }
+
     /// Drops idle assignments that forward-only rules do not need.
     pub(super) fn sweep_sticky(&mut self) {
         // Earlier builds do not bind keys, and once a build is released all keys count as answered
--- a/crates/spokeflow-core/tests/sticky.rs
+++ b/crates/spokeflow-core/tests/sticky.rs
@@ -167,3 +167,73 @@
         "a command of the key went to the old build while a delivery at the trial build was open"
     );
 }
+
+/// Sends eighty commands per second for `span`, each with a key of its own, and acknowledges them.
+/// Returns the largest number of keys that the router has kept.
+fn serve_new_keys(router: &mut Router, checker: &mut RuleChecker, span: Micros) -> usize {
+    let to = checker.now + span;
+    let mut most = 0;
+    while checker.now < to {
+        let id = checker.commands.len() as u32;
+        if checker.now / MS % 50 < 20 {
+            let key = 1_000 + u64::from(id);
+            checker.command(router, id, (id % 3) as usize, key, 1900 * MS);
+        }
+        checker.advance(router, 5 * MS);
+        for (id, index) in checker.open() {
+            let sent_at = checker.commands[&id].deliveries[index].at;
+            if checker.now - sent_at >= PROMPT_ACK.after {
+                checker.end_delivery(router, id, index, PROMPT_ACK.outcome);
+            }
+        }
+        most = most.max(router.sticky_keys());
+    }
+    most
+}
+
+/// Guards against a table of keys that grows for as long as a build is on trial, since each key that
+/// it has answered is bound to it. With no room left, new keys stay at the old build, and the checker
+/// panics if a key goes back.
+#[test]
+fn the_keys_of_a_long_trial_are_bounded() {
+    let (mut router, mut checker) = fleet(Gate::Single, |_| {});
+    let unbounded = serve_new_keys(&mut router, &mut checker, 8 * SECOND);
+    let unlimited_fraction = new_build_fraction(&checker, 4 * SECOND);
+    let (mut router, mut checker) = fleet(Gate::Single, |_| {});
+    let max_keys = router.sticky_keys() + 20;
+    assert!(unbounded > 2 * max_keys, "{unbounded} keys without a limit");
+    router.set_max_sticky_keys(max_keys);
+    let most = serve_new_keys(&mut router, &mut checker, 8 * SECOND);
+    assert_eq!(most, max_keys);
+    assert!(new_build_fraction(&checker, 4 * SECOND) < unlimited_fraction);
+    let commands = checker.commands.values();
+    let unserved = commands.filter(|command| command.deliveries.is_empty());
+    assert!(unserved.count() < 20, "commands without room are served");
+}
+
+/// With no room for its key and no other build that serves, a command goes to the build on trial.
+/// All keys without an assignment then count as answered by that build.
+#[test]
+fn keys_without_room_do_not_go_back_from_the_only_build() {
+    const KEY: u64 = 5_000;
+    let (mut router, mut checker) = fleet(Gate::Single, |config| config.exposure_allowance = 9.0);
+    let kept = router.sticky_keys();
+    router.set_max_sticky_keys(0);
+    checker.announce(
+        &mut router,
+        rollout_status(NEW, 2, RolloutState::Canary, 1.0),
+    );
+    let new: Vec<Endpoint> = (0..8).map(|host| endpoint(host, NEW)).collect();
+    checker.send_list(&mut router, ListKind::Complete, &new);
+    checker.command(&mut router, 90_001, 0, KEY, 900 * MS);
+    checker.end_delivery(&mut router, CommandId(90_001), 0, AttemptOutcome::Acked);
+    let mut both = new.clone();
+    both.extend((8..16).map(|host| endpoint(host, OLD)));
+    checker.send_list(&mut router, ListKind::Complete, &both);
+    checker.command(&mut router, 90_002, 0, KEY, 900 * MS);
+    checker.advance(&mut router, SECOND);
+    let deliveries = &checker.commands[&CommandId(90_002)].deliveries;
+    assert!(!deliveries.is_empty());
+    assert!(deliveries.iter().all(|delivery| delivery.host.0 < 8));
+    assert!(router.sticky_keys() <= kept);
+}
--- a/crates/spokeflow-engine/src/engine.rs
+++ b/crates/spokeflow-engine/src/engine.rs
@@ -73,6 +73,17 @@
         self.in_flight.deliveries.len()
     }
 
+    /// Sets the maximum number of keys whose builds the decision module remembers; see
+    /// [`Router::set_max_sticky_keys`].
+    pub fn set_max_sticky_keys(&mut self, max_keys: usize) {
+        self.router.set_max_sticky_keys(max_keys);
+    }
+
+    /// Returns the number of keys whose builds the decision module remembers.
+    pub fn sticky_keys(&self) -> usize {
+        self.router.sticky_keys()
+    }
+
     /// Sets the id under which the decision module gets the next command; ids that are in use are skipped. Tests use it
     /// to reach the wrap-around of ids.
     pub fn set_next_command_id(&mut self, id: u32) {
--- a/crates/spokeflow-platform/src/engine_state.rs
+++ b/crates/spokeflow-platform/src/engine_state.rs
@@ -158,6 +158,7 @@
         info!(
             waiting = self.engine.waiting_commands(),
             open_deliveries = self.engine.open_deliveries(),
+            sticky_keys = self.engine.sticky_keys(),
             in_use = open - idle,
             idle,
             sent = latency.count,
--- a/crates/spokeflow-platform/src/memory_limits.rs
+++ b/crates/spokeflow-platform/src/memory_limits.rs
@@ -16,6 +16,8 @@
 const HOST_SIZE: usize = 768;
 /// Memory of a host that has gone and whose number cannot be used again yet, in bytes.
 const GONE_HOST_SIZE: usize = 256;
+/// Memory of a key that is assigned to a build, in bytes.
+const STICKY_KEY_SIZE: usize = 64;
 /// Longest listing that is read with any amount of memory, in bytes.
 const MAX_LISTING_SIZE: usize = 4 << 20;
 /// Largest memory for the ids of earlier requests, in bytes: it is allocated at the start.
@@ -39,6 +41,8 @@
 const HOSTS_SHARE: usize = 4;
 /// Share of the remembered ids of requests.
 const REQUEST_IDS_SHARE: usize = 1;
+/// Share of the keys that are assigned to builds.
+const STICKY_KEYS_SHARE: usize = 1;
 
 /// Maximum sizes of what the router holds for its peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +59,8 @@
     pub(crate) read_buffers: usize,
     /// Memory for the ids of earlier requests, in bytes.
     pub(crate) request_ids: usize,
+    /// Maximum number of keys that are assigned to builds.
+    pub(crate) sticky_keys: usize,
     /// Maximum length of a listing, in bytes.
     pub(crate) listing: usize,
     /// Maximum number of hosts in a listing.
@@ -77,6 +83,7 @@
             answers: share(ANSWERS_SHARE).max(MESSAGE_LIMIT),
             read_buffers: share(READ_BUFFERS_SHARE).max(MESSAGE_LIMIT),
             request_ids: share(REQUEST_IDS_SHARE).min(MAX_REQUEST_IDS_SIZE),
+            sticky_keys: share(STICKY_KEYS_SHARE) / STICKY_KEY_SIZE,
             listing: share(LISTING_SHARE).min(MAX_LISTING_SIZE),
             hosts,
             known_hosts: hosts.saturating_mul(2),
--- a/crates/spokeflow-platform/src/serve.rs
+++ b/crates/spokeflow-platform/src/serve.rs
@@ -274,7 +274,8 @@
         // A connection holds one command at a time.
         max_waiting: derived.limits.clients,
     };
-    let engine = Engine::new(config, configuration.seed, clock.now(), &mut transport);
+    let mut engine = Engine::new(config, configuration.seed, clock.now(), &mut transport);
+    engine.set_max_sticky_keys(derived.memory.sticky_keys);
     let forget_after = to_micros(derived.longest_timeout).max(1);
     let mut state = EngineState {
         engine,
--- a/crates/spokeflow-platform/tests/unit/memory_limits.rs
+++ b/crates/spokeflow-platform/tests/unit/memory_limits.rs
@@ -25,10 +25,10 @@
     let connections = connections.clients + connections.hosts;
     let short_messages = connections * memory.short_message(connections);
     let long_messages = memory.requests + memory.answers + memory.read_buffers;
-    let ids = memory.request_ids;
+    let names = memory.request_ids + memory.sticky_keys * STICKY_KEY_SIZE;
     let gone = memory.known_hosts - memory.hosts;
     let hosts = 2 * memory.listing + memory.hosts * HOST_SIZE + gone * GONE_HOST_SIZE;
-    connections * CONNECTION_SIZE + short_messages + long_messages + ids + hosts
+    connections * CONNECTION_SIZE + short_messages + long_messages + names + hosts
 }
 
 /// Guards against bounds that hold one by one and not together: clients' requests, hosts' answers, read buffers, listings
--- a/crates/spokeflow-router/tests/memory/main.rs
+++ b/crates/spokeflow-router/tests/memory/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod hosts;
 mod limits;
+mod slow_clients;
 mod sources;
 mod together;
 
