--- a/crates/spokeflow-testbed/tests/sockets.rs
+++ b/crates/spokeflow-testbed/tests/sockets.rs
@@ -365,3 +365,48 @@
     ));
     std::fs::remove_file(&file).unwrap();
 }
+
+/// Guards against commands that are sent on for a client that has closed its sending side behind many of them, and reads
+/// none of its answers.
+#[tokio::test]
+async fn nothing_is_sent_after_a_close_behind_many_commands() {
+    const COMMANDS: u64 = 2_000;
+    const SERVICE_TIME: Duration = Duration::from_millis(20);
+    let mut router = RouterUnderTest::start(&[]).await;
+    let (listener, address) = host_listener();
+    router.list(&[(1, address, EndpointPhase::Ready)]).await;
+    let (sender, mut delivered) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        let mut link = accept_router(&listener, 1).await;
+        while let Some(Ok(message)) = link.next().await {
+            if let ToHost::Deliver { delivery, .. } = message {
+                let _ = sender.send(delivery);
+                sleep(SERVICE_TIME).await;
+                let body = Default::default();
+                let _ = link.send(FromHost::Acked { delivery, body }).await;
+            }
+        }
+    });
+    let mut client = router.connect_client().await;
+    for id in 1..=COMMANDS {
+        client.feed(command(id, AT_MOST_ONCE, 64)).await.unwrap();
+    }
+    client.flush().await.unwrap();
+    client.get_mut().shutdown().await.unwrap();
+    // What the host's receive buffer holds was sent before the close.
+    let mut before = 0;
+    let settled = Duration::from_millis(500);
+    while let Ok(Some(_)) = timeout(settled, delivered.recv()).await {
+        before += 1;
+    }
+    assert!(before > 0, "no command was delivered");
+    assert!(before < COMMANDS / 10, "{before} commands were delivered");
+    // Another client is served.
+    let mut other = router.connect_client().await;
+    other.send(command(1, AT_MOST_ONCE, 8)).await.unwrap();
+    let answer = receive(&mut other).await;
+    assert!(matches!(
+        answer,
+        ToClient::Acked { .. } | ToClient::Nacked { .. }
+    ));
+}
